--- a/src/main/java/frostspur/Bucket.java
+++ b/src/main/java/junipercourse/decision/Bucket.java
@@ -1,4 +1,4 @@
-package frostspur;
+package junipercourse.decision;
 
 /** A bucket that fills with time and from which is drawn. */
 final class Bucket {
--- a/src/main/java/frostspur/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -1,10 +1,10 @@
-package frostspur;
+package junipercourse.decision;
 
-import frostspur.State.Node;
-import frostspur.State.Job;
-import frostspur.State.Mix;
-import frostspur.State.ClassView;
-import frostspur.State.Attempt;
+import junipercourse.decision.State.Node;
+import junipercourse.decision.State.Job;
+import junipercourse.decision.State.Mix;
+import junipercourse.decision.State.ClassView;
+import junipercourse.decision.State.Attempt;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
--- a/src/main/java/frostspur/Homes.java
+++ b/src/main/java/junipercourse/decision/Homes.java
@@ -1,6 +1,6 @@
-package frostspur;
+package junipercourse.decision;
 
-import frostspur.State.Node;
+import junipercourse.decision.State.Node;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
--- a/src/main/java/frostspur/KeyLines.java
+++ b/src/main/java/junipercourse/decision/KeyLines.java
@@ -1,6 +1,6 @@
-package frostspur;
+package junipercourse.decision;
 
-import frostspur.State.Job;
+import junipercourse.decision.State.Job;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/frostspur/Looks.java
+++ b/src/main/java/junipercourse/decision/Looks.java
@@ -1,6 +1,6 @@
-package frostspur;
+package junipercourse.decision;
 
-import frostspur.State.Job;
+import junipercourse.decision.State.Job;
 import java.util.PriorityQueue;
 
 /** Requests by the time at which they are to be looked at again, each at its earliest. */
--- a/src/main/java/frostspur/PeerMessage.java
+++ b/src/main/java/junipercourse/decision/PeerMessage.java
@@ -1,7 +1,7 @@
-package frostspur;
+package junipercourse.decision;
 
-import frostspur.DispatchApi.EngineId;
-import frostspur.State.Node;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.State.Node;
 import java.nio.ByteBuffer;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/src/main/java/frostspur/Peers.java
+++ b/src/main/java/junipercourse/decision/Peers.java
@@ -1,6 +1,6 @@
-package frostspur;
+package junipercourse.decision;
 
-import frostspur.State.Node;
+import junipercourse.decision.State.Node;
 import java.util.Map;
 import java.util.TreeMap;
 
--- a/src/main/java/frostspur/ProductLimit.java
+++ b/src/main/java/junipercourse/decision/ProductLimit.java
@@ -1,4 +1,4 @@
-package frostspur;
+package junipercourse.decision;
 
 import java.util.Arrays;
 import java.util.Comparator;
--- a/src/main/java/frostspur/State.java
+++ b/src/main/java/junipercourse/decision/State.java
@@ -1,9 +1,9 @@
-package frostspur;
+package junipercourse.decision;
 
-import frostspur.DispatchApi.Engine;
-import frostspur.DispatchApi.EngineId;
-import frostspur.DispatchApi.QueryClass;
-import frostspur.DispatchApi.Request;
+import junipercourse.decision.DispatchApi.Engine;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.QueryClass;
+import junipercourse.decision.DispatchApi.Request;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
--- a/src/main/java/frostspur/Window.java
+++ b/src/main/java/junipercourse/decision/Window.java
@@ -1,4 +1,4 @@
-package frostspur;
+package junipercourse.decision;
 
 import java.util.ArrayDeque;
 
--- a/src/main/java/frostspur/sim/SettingsReader.java
+++ b/src/main/java/junipercourse/sim/SettingsReader.java
@@ -1,18 +1,18 @@
-package frostspur.sim;
-
-import frostspur.DispatchApi.Effect;
-import frostspur.DispatchApi.EngineRules;
-import frostspur.DispatchApi.Guarantees;
-import frostspur.DispatchApi.KeyScope;
-import frostspur.DispatchApi.Kind;
-import frostspur.DispatchApi.Limits;
-import frostspur.DispatchApi.LoadField;
-import frostspur.DispatchApi.OutOfMemory;
-import frostspur.DispatchApi.QueryClass;
-import frostspur.DispatchApi.Settings;
-import frostspur.DispatchApi.Telemetry;
-import frostspur.DispatchApi.Tenant;
-import frostspur.DispatchApi.Weights;
+package junipercourse.sim;
+
+import junipercourse.decision.DispatchApi.Effect;
+import junipercourse.decision.DispatchApi.EngineRules;
+import junipercourse.decision.DispatchApi.Guarantees;
+import junipercourse.decision.DispatchApi.KeyScope;
+import junipercourse.decision.DispatchApi.Kind;
+import junipercourse.decision.DispatchApi.Limits;
+import junipercourse.decision.DispatchApi.LoadField;
+import junipercourse.decision.DispatchApi.OutOfMemory;
+import junipercourse.decision.DispatchApi.QueryClass;
+import junipercourse.decision.DispatchApi.Settings;
+import junipercourse.decision.DispatchApi.Telemetry;
+import junipercourse.decision.DispatchApi.Tenant;
+import junipercourse.decision.DispatchApi.Weights;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/frostspur/sim/SimHost.java
+++ b/src/main/java/junipercourse/sim/SimHost.java
@@ -1,15 +1,15 @@
-package frostspur.sim;
-
-import frostspur.DispatchApi.AttemptEnd;
-import frostspur.DispatchApi.Engine;
-import frostspur.DispatchApi.EngineId;
-import frostspur.DispatchApi.NoteKind;
-import frostspur.DispatchApi.Outcome;
-import frostspur.DispatchApi.Request;
-import frostspur.DispatchApi.RequestId;
-import frostspur.DispatchApi.RosterKind;
-import frostspur.Dispatcher;
-import frostspur.sim.Wire.WireException;
+package junipercourse.sim;
+
+import junipercourse.decision.DispatchApi.AttemptEnd;
+import junipercourse.decision.DispatchApi.Engine;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.NoteKind;
+import junipercourse.decision.DispatchApi.Outcome;
+import junipercourse.decision.DispatchApi.Request;
+import junipercourse.decision.DispatchApi.RequestId;
+import junipercourse.decision.DispatchApi.RosterKind;
+import junipercourse.decision.Dispatcher;
+import junipercourse.sim.Wire.WireException;
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -43,7 +43,7 @@
     /** Runs the adapter. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar frostspur.jar simhost");
+            System.err.println("usage: java -jar junipercourse.jar simhost");
             System.exit(2);
         }
         System.exit(new SimHost(System.err).run(new BufferedInputStream(System.in, 1 << 16), System.out));
--- a/src/main/java/frostspur/sim/Wire.java
+++ b/src/main/java/junipercourse/sim/Wire.java
@@ -1,11 +1,11 @@
-package frostspur.sim;
-
-import frostspur.DispatchApi.Actions;
-import frostspur.DispatchApi.Engine;
-import frostspur.DispatchApi.EngineId;
-import frostspur.DispatchApi.Outcome;
-import frostspur.DispatchApi.RequestId;
-import frostspur.DispatchApi.Stage;
+package junipercourse.sim;
+
+import junipercourse.decision.DispatchApi.Actions;
+import junipercourse.decision.DispatchApi.Engine;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.Outcome;
+import junipercourse.decision.DispatchApi.RequestId;
+import junipercourse.decision.DispatchApi.Stage;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
--- a/src/test/java/frostspur/DispatcherTest.java
+++ b/src/test/java/junipercourse/decision/DispatcherTest.java
@@ -1,17 +1,17 @@
-package frostspur;
+package junipercourse.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import frostspur.DispatchApi.Effect;
-import frostspur.DispatchApi.Engine;
-import frostspur.DispatchApi.Guarantees;
-import frostspur.DispatchApi.KeyScope;
-import frostspur.DispatchApi.Outcome;
-import frostspur.DispatchApi.QueryClass;
-import frostspur.DispatchApi.RosterKind;
-import frostspur.DispatchApi.Stage;
+import junipercourse.decision.DispatchApi.Effect;
+import junipercourse.decision.DispatchApi.Engine;
+import junipercourse.decision.DispatchApi.Guarantees;
+import junipercourse.decision.DispatchApi.KeyScope;
+import junipercourse.decision.DispatchApi.Outcome;
+import junipercourse.decision.DispatchApi.QueryClass;
+import junipercourse.decision.DispatchApi.RosterKind;
+import junipercourse.decision.DispatchApi.Stage;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -436,7 +436,8 @@
 
     @Test
     void moduleKeepsItsLimits() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/frostspur/Dispatcher.java"));
+        Path policy = Path.of("src/main/java/junipercourse/decision/Dispatcher.java");
+        List<String> lines = Files.readAllLines(policy);
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 850);
         assertTrue(lines.stream().allMatch(l -> l.length() <= 110));
     }
--- a/src/test/java/frostspur/EmbeddingTest.java
+++ b/src/test/java/junipercourse/decision/EmbeddingTest.java
@@ -1,15 +1,15 @@
-package frostspur;
+package junipercourse.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import frostspur.DispatchApi.AttemptEnd;
-import frostspur.DispatchApi.Effect;
-import frostspur.DispatchApi.EngineId;
-import frostspur.DispatchApi.Outcome;
-import frostspur.DispatchApi.Request;
-import frostspur.DispatchApi.RequestId;
-import frostspur.DispatchApi.RosterKind;
-import frostspur.DispatchApi.Stage;
+import junipercourse.decision.DispatchApi.AttemptEnd;
+import junipercourse.decision.DispatchApi.Effect;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.Outcome;
+import junipercourse.decision.DispatchApi.Request;
+import junipercourse.decision.DispatchApi.RequestId;
+import junipercourse.decision.DispatchApi.RosterKind;
+import junipercourse.decision.DispatchApi.Stage;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/frostspur/ProductLimitTest.java
+++ b/src/test/java/junipercourse/decision/ProductLimitTest.java
@@ -1,4 +1,4 @@
-package frostspur;
+package junipercourse.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/frostspur/RuleChecker.java
+++ b/src/test/java/junipercourse/decision/RuleChecker.java
@@ -1,14 +1,14 @@
-package frostspur;
-
-import frostspur.DispatchApi.Effect;
-import frostspur.DispatchApi.Engine;
-import frostspur.DispatchApi.EngineId;
-import frostspur.DispatchApi.Outcome;
-import frostspur.DispatchApi.QueryClass;
-import frostspur.DispatchApi.Request;
-import frostspur.DispatchApi.RequestId;
-import frostspur.DispatchApi.Settings;
-import frostspur.DispatchApi.Stage;
+package junipercourse.decision;
+
+import junipercourse.decision.DispatchApi.Effect;
+import junipercourse.decision.DispatchApi.Engine;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.Outcome;
+import junipercourse.decision.DispatchApi.QueryClass;
+import junipercourse.decision.DispatchApi.Request;
+import junipercourse.decision.DispatchApi.RequestId;
+import junipercourse.decision.DispatchApi.Settings;
+import junipercourse.decision.DispatchApi.Stage;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/src/test/java/frostspur/RulesTest.java
+++ b/src/test/java/junipercourse/decision/RulesTest.java
@@ -1,21 +1,21 @@
-package frostspur;
+package junipercourse.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import frostspur.DispatchApi.AttemptEnd;
-import frostspur.DispatchApi.Effect;
-import frostspur.DispatchApi.Engine;
-import frostspur.DispatchApi.EngineId;
-import frostspur.DispatchApi.Guarantees;
-import frostspur.DispatchApi.KeyScope;
-import frostspur.DispatchApi.Outcome;
-import frostspur.DispatchApi.QueryClass;
-import frostspur.DispatchApi.Request;
-import frostspur.DispatchApi.RequestId;
-import frostspur.DispatchApi.RosterKind;
-import frostspur.DispatchApi.Settings;
-import frostspur.DispatchApi.Stage;
+import junipercourse.decision.DispatchApi.AttemptEnd;
+import junipercourse.decision.DispatchApi.Effect;
+import junipercourse.decision.DispatchApi.Engine;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.Guarantees;
+import junipercourse.decision.DispatchApi.KeyScope;
+import junipercourse.decision.DispatchApi.Outcome;
+import junipercourse.decision.DispatchApi.QueryClass;
+import junipercourse.decision.DispatchApi.Request;
+import junipercourse.decision.DispatchApi.RequestId;
+import junipercourse.decision.DispatchApi.RosterKind;
+import junipercourse.decision.DispatchApi.Settings;
+import junipercourse.decision.DispatchApi.Stage;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
--- a/src/test/java/frostspur/sim/SimHostTest.java
+++ b/src/test/java/junipercourse/sim/SimHostTest.java
@@ -1,12 +1,12 @@
-package frostspur.sim;
+package junipercourse.sim;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import frostspur.DispatchApi.Effect;
-import frostspur.DispatchApi.Settings;
+import junipercourse.decision.DispatchApi.Effect;
+import junipercourse.decision.DispatchApi.Settings;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
