--- /dev/null
+++ b/src/main/java/junipercourse/cli/Main.java
@@ -0,0 +1,91 @@
+package junipercourse.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import junipercourse.config.Config;
+import junipercourse.config.ConfigException;
+import junipercourse.sim.SimHost;
+
+/** The command line. Exit codes: 0 done, 1 failed, 2 called or configured wrongly. */
+public final class Main {
+    private static final int FAILED = 1;
+    private static final int WRONG = 2;
+
+    private Main() { }
+
+    @Parameters(commandNames = "serve", commandDescription = "runs one dispatcher, as RELAY_CONFIG tells it")
+    private static final class Serve { }
+
+    @Parameters(commandNames = "simhost", commandDescription = "hosts instances on the simulator's wire")
+    private static final class SimHostCommand { }
+
+    @Parameters(commandNames = "check", commandDescription = "reads and checks the configuration, no more")
+    private static final class Check { }
+
+    @Parameters(commandNames = "version", commandDescription = "prints the version")
+    private static final class Version { }
+
+    /** What stands before any command. */
+    private static final class Options {
+        @Parameter(names = {"-h", "--help"}, help = true, description = "prints this text")
+        private boolean help;
+    }
+
+    public static void main(String[] args) {
+        int code = run(args);
+        if (code != 0) {
+            System.exit(code);
+        }
+    }
+
+    static int run(String[] args) {
+        Options options = new Options();
+        JCommander commands = JCommander.newBuilder().programName("junipercourse").addObject(options)
+                .addCommand(new Serve()).addCommand(new SimHostCommand()).addCommand(new Check())
+                .addCommand(new Version()).build();
+        try {
+            commands.parse(args);
+        } catch (ParameterException e) {
+            System.err.println("junipercourse: " + e.getMessage());
+            return WRONG;
+        }
+        if (options.help || commands.getParsedCommand() == null) {
+            StringBuilder usage = new StringBuilder();
+            commands.getUsageFormatter().usage(usage);
+            System.out.print(usage);
+            return options.help ? 0 : WRONG;
+        }
+        try {
+            return execute(commands.getParsedCommand());
+        } catch (ConfigException e) {
+            System.err.println("junipercourse: configuration: " + e.getMessage());
+            return WRONG;
+        } catch (IOException e) {
+            System.err.println("junipercourse: " + e.getMessage());
+            return FAILED;
+        }
+    }
+
+    private static int execute(String command) throws IOException {
+        switch (command) {
+            case "serve" -> new Server(Config.read(System.getenv())).start();
+            case "simhost" -> {
+                return new SimHost(System.err).run(new BufferedInputStream(System.in, 1 << 16), System.out);
+            }
+            case "check" -> System.out.println("configuration of " + Config.read(System.getenv()).name()
+                    + " can be used");
+            case "version" -> System.out.println("junipercourse " + version());
+            default -> throw new IllegalStateException(command);
+        }
+        return 0;
+    }
+
+    private static String version() {
+        String version = Main.class.getPackage().getImplementationVersion();
+        return version == null ? "(built without a version)" : version;
+    }
+}
--- a/src/main/java/junipercourse/sim/SettingsReader.java
+++ b/src/main/java/junipercourse/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package junipercourse.sim;
+package junipercourse.config;
 
 import junipercourse.decision.DispatchApi.Effect;
 import junipercourse.decision.DispatchApi.EngineRules;
@@ -21,20 +21,28 @@
 import java.util.TreeSet;
 
 /** Turns the text of the settings into typed settings. Keys that are not known are skipped. */
-final class SettingsReader {
-    private final Map<String, String> pairs = new HashMap<>();
+public final class SettingsReader {
+    private final Map<String, String> pairs;
 
-    private SettingsReader(String text) {
+    private SettingsReader(Map<String, String> pairs) {
+        this.pairs = pairs;
+    }
+
+    /** Reads lines of {@code path=value}. */
+    public static Settings read(String text) {
+        Map<String, String> pairs = new HashMap<>();
         for (String line : text.split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) {
                 pairs.put(line.substring(0, eq).trim(), line.substring(eq + 1).trim());
             }
         }
+        return read(pairs);
     }
 
-    static Settings read(String text) {
-        return new SettingsReader(text).settings();
+    /** Reads pairs of path and value. */
+    public static Settings read(Map<String, String> pairs) {
+        return new SettingsReader(pairs).settings();
     }
 
     private Settings settings() {
--- /dev/null
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -0,0 +1,285 @@
+package junipercourse.core;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.function.DoubleConsumer;
+import junipercourse.core.Backend.End;
+import junipercourse.core.Backend.Member;
+import junipercourse.core.Counters.Count;
+import junipercourse.decision.DispatchApi;
+import junipercourse.decision.DispatchApi.AttemptEnd;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.Outcome;
+import junipercourse.decision.DispatchApi.Request;
+import junipercourse.decision.DispatchApi.RequestId;
+import junipercourse.decision.DispatchApi.RosterKind;
+import junipercourse.decision.DispatchApi.Settings;
+import junipercourse.decision.Dispatcher;
+import junipercourse.net.Deadlines;
+import junipercourse.net.Loop;
+import org.tinylog.Logger;
+
+/**
+ * Drives the decision module: gathers the events of a turn, tells them, lets the module decide once, and
+ * carries out what it asks for. Every query gets one final answer here, whatever the module does.
+ */
+public final class Gateway implements DispatchApi.Actions {
+    /** The module answers before this; it is the net below it, and still in time for the client. */
+    private static final double LAST_MOMENT_S = 0.012;
+
+    private final Loop loop;
+    private final Settings settings;
+    private final Backend backend;
+    private final Counters counters;
+    private final Dispatcher module;
+    private final Slots<Exchange> exchanges = new Slots<>();
+    private final ArrayDeque<DoubleConsumer> events = new ArrayDeque<>();
+    private boolean turnDue;
+    private int open;
+    private Runnable whenIdle;
+
+    /** A query from its arrival until its answer is given and none of its attempts is out. */
+    private static final class Exchange {
+        final Query query;
+        final Reply reply;
+        long id;
+        Deadlines.Entry lastMoment;
+        Deadlines.Entry attemptTimeout;
+        Backend.Attempt out;
+        int attempts;
+        boolean answered;
+
+        Exchange(Query query, Reply reply) {
+            this.query = query;
+            this.reply = reply;
+        }
+    }
+
+    public Gateway(Loop loop, Settings settings, long seed, Backend backend, Counters counters) {
+        this.loop = loop;
+        this.settings = settings;
+        this.backend = backend;
+        this.counters = counters;
+        this.module = new Dispatcher(settings, seed, this);
+    }
+
+    // ---- what the fronts and the roster tell ----
+
+    /** Takes a query; its reply is called once, later. The id is good for {@link #abandon}. */
+    public long take(Query query, Reply reply) {
+        counters.add(Count.QUERIES_TAKEN);
+        Exchange x = new Exchange(query, reply);
+        x.id = exchanges.add(x);
+        open++;
+        x.lastMoment = loop.at(query.notAfter() - LAST_MOMENT_S, () -> lastMoment(x));
+        event(now -> {
+            if (!x.answered) {
+                module.request(now, new Request(new RequestId(x.id), query.queryClass(), query.tenant(),
+                        query.notAfter(), query.orderKey(), query.tableGroup(), query.cost(),
+                        query.memoryMb(), query.clientRetry()));
+            }
+        });
+        return x.id;
+    }
+
+    /** The client has left: no answer is owed any more. */
+    public void abandon(long id) {
+        Exchange x = exchanges.get(id);
+        if (x != null && !x.answered) {
+            counters.add(Count.CLIENTS_LEFT);
+            answered(x);
+            abandonInModule(x);
+        }
+    }
+
+    /** News of the engine list; the back end knows of it before anything more is sent. */
+    public void roster(RosterKind kind, List<Member> members) {
+        counters.add(Count.ROSTER_EVENTS);
+        backend.roster(kind, members);
+        event(now -> module.roster(now, kind, members.stream().map(Member::engine).toList()));
+    }
+
+    /** Queries without a final answer. */
+    public int open() {
+        return open;
+    }
+
+    /** Runs a task as soon as no query is open. */
+    public void whenIdle(Runnable task) {
+        whenIdle = task;
+        event(now -> checkIdle());
+    }
+
+    private void checkIdle() {
+        if (open == 0 && whenIdle != null) {
+            Runnable task = whenIdle;
+            whenIdle = null;
+            task.run();
+        }
+    }
+
+    // ---- turns ----
+
+    /** Queues an event. One turn tells all that have come by then, so that one settle serves them. */
+    private void event(DoubleConsumer event) {
+        events.add(event);
+        if (!turnDue) {
+            turnDue = true;
+            loop.execute(this::turn);
+        }
+    }
+
+    private void turn() {
+        turnDue = false;
+        double now = Loop.now();
+        for (DoubleConsumer e = events.poll(); e != null; e = events.poll()) {
+            guarded(e, now);
+        }
+        guarded(module::settle, now);
+    }
+
+    /** An exception in the module costs the request at hand: its last moment still answers it. */
+    private void guarded(DoubleConsumer call, double now) {
+        try {
+            call.accept(now);
+        } catch (RuntimeException e) {
+            counters.add(Count.INTERNAL_ERRORS);
+            Logger.error(e, "the decision module failed");
+        }
+    }
+
+    // ---- answers ----
+
+    private void lastMoment(Exchange x) {
+        x.lastMoment = null;
+        if (!x.answered) {
+            counters.add(Count.ANSWERS_AT_LAST_MOMENT);
+            failed(x, "out of time");
+            abandonInModule(x);
+        }
+    }
+
+    private void abandonInModule(Exchange x) {
+        event(now -> module.abandoned(now, new RequestId(x.id)));
+    }
+
+    /** The one place where a query's answer is given or its client is given up. */
+    private void answered(Exchange x) {
+        x.answered = true;
+        open--;
+        loop.cancel(x.lastMoment);
+        x.lastMoment = null;
+        release(x);
+        checkIdle();
+    }
+
+    private void failed(Exchange x, String why) {
+        counters.add(Count.ANSWERS_FAILED);
+        x.reply.failed(why);
+        answered(x);
+    }
+
+    /** The one place where a query's slot is given back. */
+    private void release(Exchange x) {
+        if (x.answered && x.out == null) {
+            exchanges.remove(x.id);
+        }
+    }
+
+    private void ended(Exchange x, EngineId engine, int attempt, double sentAt, End end) {
+        x.out = null;
+        loop.cancel(x.attemptTimeout);
+        x.attemptTimeout = null;
+        counters.add(Count.valueOf("ENDS_" + end.outcome()));
+        if (end.outcome() == Outcome.OK && !x.answered) {
+            counters.add(Count.ANSWERS_SERVED);
+            x.reply.served(end.pages());
+            answered(x);
+        }
+        boolean over = x.answered;
+        event(now -> module.attemptEnd(now, new AttemptEnd(new RequestId(x.id), attempt, engine,
+                end.outcome(), now - sentAt, over, end.trueCost(), end.trueMb(), end.report())));
+        release(x);
+    }
+
+    // ---- what the module asks for ----
+
+    @Override
+    public void send(RequestId id, EngineId engine, double giveUpAfter) {
+        Exchange x = exchanges.get(id.value());
+        double now = Loop.now();
+        boolean spent = x != null && settings.limits().tryLimit() > 0
+                && x.attempts >= settings.limits().tryLimit();
+        if (x == null || x.answered || x.out != null || spent || now >= x.query.notAfter()) {
+            counters.add(Count.ATTEMPTS_MOOT);
+            int attempt = x == null ? 0 : x.attempts++;
+            event(later -> module.attemptEnd(later, new AttemptEnd(id, attempt, engine, Outcome.MOOT, 0,
+                    x == null || x.answered, 0, 0, new float[0])));
+            return;
+        }
+        int attempt = x.attempts++;
+        counters.add(Count.ATTEMPTS_SENT);
+        double until = giveUpAfter > 0 ? Math.min(now + giveUpAfter, x.query.notAfter()) : x.query.notAfter();
+        x.out = backend.start(engine, x.query, until, end -> ended(x, engine, attempt, now, end));
+        x.attemptTimeout = loop.at(until, () -> x.out.giveUp(Outcome.TIMEOUT));
+    }
+
+    @Override
+    public void cancel(RequestId id, int attempt) {
+        Exchange x = exchanges.get(id.value());
+        if (x != null && x.out != null && attempt == x.attempts - 1) {
+            counters.add(Count.ATTEMPTS_CANCELLED);
+            x.out.giveUp(Outcome.CANCELLED);
+        }
+    }
+
+    @Override
+    public void refuse(RequestId id, double coolDown) {
+        Exchange x = exchanges.get(id.value());
+        if (x != null && !x.answered) {
+            counters.add(Count.ANSWERS_REFUSED);
+            x.reply.refused(coolDown, "no engine can take this query in time");
+            answered(x);
+        }
+    }
+
+    @Override
+    public void fail(RequestId id) {
+        Exchange x = exchanges.get(id.value());
+        if (x != null && !x.answered) {
+            failed(x, "the query could not be brought to an end");
+        }
+    }
+
+    @Override
+    public void timer(double delay, long token) {
+        loop.after(delay, () -> event(now -> module.timer(now, token)));
+    }
+
+    @Override
+    public void log(String line) {
+        Logger.info(line);
+    }
+
+    // ---- what this platform does not have: the settings forbid these, so the module asks for none ----
+
+    @Override
+    public void terms(RequestId id, int priority, double memoryMb) {
+        // Engines here set memory themselves and heed no priority.
+    }
+
+    @Override
+    public void probe(EngineId engine) {
+        throw new UnsupportedOperationException("engines may not be probed");
+    }
+
+    @Override
+    public void tellPeers(byte[] payload) {
+        throw new UnsupportedOperationException("dispatchers cannot reach each other");
+    }
+
+    @Override
+    public void subscribe() {
+        // The event bus pushes to every dispatcher that connects; there is nothing to ask for.
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/engine/EngineCall.java
@@ -0,0 +1,101 @@
+package junipercourse.engine;
+
+/**
+ * One call to an engine, from the moment a connection is wanted for it until its answer is there or it
+ * failed. Exactly one of the listener's methods is called, unless the call is dropped.
+ */
+final class EngineCall {
+    /** Is told how a call went. */
+    interface Listener {
+        /** Asked right before the first byte: false takes the call back unwritten. */
+        boolean mayWrite();
+
+        void answered(HttpResponse response);
+
+        /** The connection broke with the call on it. */
+        void broken();
+
+        /** No connection came up, and nothing was written. */
+        void unreachable(boolean refused);
+
+        /** {@link #mayWrite} said no. */
+        void takenBack();
+    }
+
+    private final byte[] request;
+    private Listener listener;
+    private EngineConnection on;
+    private Runnable stopDialing;
+
+    EngineCall(byte[] request, Listener listener) {
+        this.request = request;
+        this.listener = listener;
+    }
+
+    void dialing(Runnable stop) {
+        stopDialing = stop;
+    }
+
+    /** Writes the call on a connection, or gives the connection back to its pool. */
+    void run(EngineConnection connection, EnginePool pool) {
+        stopDialing = null;
+        if (listener == null || !listener.mayWrite()) {
+            pool.idle(connection);
+            if (listener != null) {
+                Listener told = listener;
+                listener = null;
+                told.takenBack();
+            }
+            return;
+        }
+        on = connection;
+        connection.write(this, request);
+    }
+
+    void answered(HttpResponse response) {
+        Listener told = over();
+        if (told != null) {
+            told.answered(response);
+        }
+    }
+
+    void broken() {
+        Listener told = over();
+        if (told != null) {
+            told.broken();
+        }
+    }
+
+    void unreachable(boolean refused) {
+        Listener told = over();
+        if (told != null) {
+            told.unreachable(refused);
+        }
+    }
+
+    private Listener over() {
+        Listener told = listener;
+        listener = null;
+        stopDialing = null;
+        on = null;
+        return told;
+    }
+
+    /** The listener hears nothing more; an answer that still comes frees the connection for others. */
+    void ignore() {
+        listener = null;
+        if (stopDialing != null) {
+            stopDialing.run();
+            stopDialing = null;
+        }
+    }
+
+    /** Ignores the call and closes the connection that it is on. */
+    void drop() {
+        EngineConnection c = on;
+        ignore();
+        if (c != null) {
+            c.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/engine/EngineClient.java
@@ -0,0 +1,140 @@
+package junipercourse.engine;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import junipercourse.core.Backend;
+import junipercourse.core.Counters;
+import junipercourse.core.Query;
+import junipercourse.decision.DispatchApi.Engine;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.LoadField;
+import junipercourse.decision.DispatchApi.Outcome;
+import junipercourse.decision.DispatchApi.RosterKind;
+import junipercourse.decision.DispatchApi.Settings;
+import junipercourse.decision.DispatchApi.Stage;
+import junipercourse.net.Loop;
+
+/** The engines by id, each with its connections; starts fetches on them. */
+public final class EngineClient implements Backend {
+    /** Of the time after which an engine closes an idle connection: ours goes first, and no call meets it. */
+    private static final double IDLE_PART = 0.7;
+
+    private final Loop loop;
+    private final double dialTimeout;
+    private final double idleSeconds;
+    private final Counters counters;
+    private final GaugeReader gauges;
+    private final Map<EngineId, EnginePool> pools = new HashMap<>();
+
+    public EngineClient(Loop loop, Settings settings, double idleSeconds, Counters counters) {
+        this.loop = loop;
+        this.dialTimeout = settings.limits().dialTimeout() > 0 ? settings.limits().dialTimeout() : 1;
+        this.idleSeconds = idleSeconds * IDLE_PART;
+        this.counters = counters;
+        this.gauges = new GaugeReader(settings.loadFields());
+    }
+
+    @Override
+    public void roster(RosterKind kind, List<Member> members) {
+        Set<EngineId> named = new HashSet<>();
+        for (Member m : members) {
+            Engine e = m.engine();
+            named.add(e.id());
+            if (e.stage() == Stage.GONE) {
+                retire(e.id());
+                continue;
+            }
+            EnginePool pool = pools.get(e.id());
+            if (pool != null && !pool.address().equals(m.address())) {
+                retire(e.id());
+                pool = null;
+            }
+            if (pool == null) {
+                pool = new EnginePool(loop, e.id(), m.address(), dialTimeout, idleSeconds, counters);
+                pools.put(e.id(), pool);
+            }
+            pool.ready(e.stage() == Stage.READY);
+        }
+        if (kind == RosterKind.FULL || kind == RosterKind.CACHED) {
+            List.copyOf(pools.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::retire);
+        }
+    }
+
+    /** Fetches that are out keep the pool until they are over; nothing new finds it. */
+    private void retire(EngineId id) {
+        EnginePool pool = pools.remove(id);
+        if (pool != null) {
+            pool.retire();
+        }
+    }
+
+    @Override
+    public Attempt start(EngineId engine, Query query, double giveUpAt, Ending ending) {
+        EnginePool pool = pools.get(engine);
+        if (pool == null || !pool.ready()) {
+            loop.execute(() -> ending.ended(End.of(Outcome.TURNED_AWAY)));
+            return as -> { };
+        }
+        Fetch fetch = new Fetch(loop, pool, query, giveUpAt, gauges, counters, ending);
+        loop.execute(fetch::start);
+        return fetch;
+    }
+
+    /** Reads load reports such as {@code inflight:7;util:0.61} in the order that the settings name. */
+    static final class GaugeReader {
+        private static final float[] NONE = {};
+        private final List<LoadField> fields;
+
+        GaugeReader(List<LoadField> fields) {
+            this.fields = fields;
+        }
+
+        /** The values, or none if one is missing or no number: half a report would mislead. */
+        float[] read(String text) {
+            if (text == null) {
+                return NONE;
+            }
+            float[] values = new float[fields.size()];
+            java.util.Arrays.fill(values, Float.NaN);
+            for (String part : text.split(";")) {
+                int colon = part.indexOf(':');
+                LoadField field = colon < 0 ? null : field(part.substring(0, colon).trim());
+                int at = field == null ? -1 : fields.indexOf(field);
+                if (at >= 0) {
+                    values[at] = number(part.substring(colon + 1));
+                }
+            }
+            for (float v : values) {
+                if (!(v >= 0 && v < Float.POSITIVE_INFINITY)) {
+                    return NONE;
+                }
+            }
+            return values;
+        }
+
+        private static float number(String text) {
+            try {
+                return Float.parseFloat(text.trim());
+            } catch (NumberFormatException e) {
+                return Float.NaN;
+            }
+        }
+
+        private static LoadField field(String name) {
+            return switch (name) {
+                case "inflight", "rif" -> LoadField.IN_HAND;
+                case "queue", "q" -> LoadField.WAITING;
+                case "util", "busy" -> LoadField.BUSY;
+                case "latency_ms", "lat_ms" -> LoadField.LATENCY_MS;
+                case "qps", "rate" -> LoadField.RATE;
+                case "eps", "fail_rate" -> LoadField.FAIL_RATE;
+                case "x0" -> LoadField.MEMORY_GRANTED;
+                case "x1" -> LoadField.DISKS_BUSY;
+                default -> null;
+            };
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/engine/EngineConnection.java
@@ -0,0 +1,73 @@
+package junipercourse.engine;
+
+import java.nio.ByteBuffer;
+import junipercourse.core.Counters;
+import junipercourse.core.Counters.Count;
+import junipercourse.net.Link;
+import org.tinylog.Logger;
+import org.xnio.StreamConnection;
+
+/** One connection to an engine, with at most one call on it. Its pool owns it. */
+final class EngineConnection implements Link.Handler {
+    private final EnginePool pool;
+    private final Counters counters;
+    private final HttpParser parser = new HttpParser();
+    private final Link link;
+    private EngineCall call;
+    double idleSince;
+
+    EngineConnection(StreamConnection connection, EnginePool pool, Counters counters) {
+        this.pool = pool;
+        this.counters = counters;
+        this.link = new Link(connection, this);
+    }
+
+    void write(EngineCall next, byte[] request) {
+        call = next;
+        link.write(request);
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        try {
+            HttpResponse response = parser.read(bytes);
+            if (response == null && call != null) {
+                return;
+            }
+            if (response == null || call == null || bytes.hasRemaining()) {
+                throw new HttpParser.GarbledException("an answer to nothing");
+            }
+            EngineCall done = call;
+            call = null;
+            if (response.keepAlive()) {
+                pool.idle(this);
+            } else {
+                close();
+            }
+            done.answered(response);
+        } catch (HttpParser.GarbledException e) {
+            counters.add(Count.ENGINE_BYTES_GARBLED);
+            Logger.warn("engine {}: {}; the connection is closed", pool.name(), e.getMessage());
+            close();
+            disconnected();
+        }
+    }
+
+    @Override
+    public void disconnected() {
+        pool.left(this);
+        EngineCall broken = call;
+        call = null;
+        if (broken != null) {
+            counters.add(Count.ENGINE_CONNECTIONS_BROKEN);
+            broken.broken();
+        }
+    }
+
+    /** Closes; a call on it hears nothing. */
+    void close() {
+        call = null;
+        link.close();
+        pool.left(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/engine/EnginePool.java
@@ -0,0 +1,111 @@
+package junipercourse.engine;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
+import junipercourse.core.Counters;
+import junipercourse.core.Counters.Count;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.net.Loop;
+
+/** The connections to one engine. A later engine at the same address has a pool of its own. */
+final class EnginePool {
+    private static final int MOST_IDLE = 16;
+
+    private final Loop loop;
+    private final EngineId id;
+    private final InetSocketAddress address;
+    private final double dialTimeout;
+    private final double idleSeconds;
+    private final Counters counters;
+    private final ArrayDeque<EngineConnection> idle = new ArrayDeque<>();
+    private final Set<EngineConnection> all = new HashSet<>();
+    private boolean listed = true;
+    private boolean ready = true;
+
+    EnginePool(Loop loop, EngineId id, InetSocketAddress address, double dialTimeout, double idleSeconds,
+            Counters counters) {
+        this.loop = loop;
+        this.id = id;
+        this.address = address;
+        this.dialTimeout = dialTimeout;
+        this.idleSeconds = idleSeconds;
+        this.counters = counters;
+    }
+
+    String name() {
+        return String.format("s-%08x", id.value());
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Whether new work may go there now. */
+    boolean ready() {
+        return ready;
+    }
+
+    void ready(boolean takesWork) {
+        ready = takesWork;
+    }
+
+    /** Runs a call on an idle connection or, if there is none or a fresh one is wanted, on a new one. */
+    void call(EngineCall call, boolean fresh) {
+        EngineConnection reused = fresh ? null : freshestIdle();
+        if (reused != null) {
+            call.run(reused, this);
+            return;
+        }
+        Loop.Dial dial = loop.dial(address, dialTimeout, c -> {
+            counters.add(Count.ENGINE_CONNECTIONS_OPENED);
+            EngineConnection connection = new EngineConnection(c, this, counters);
+            all.add(connection);
+            call.run(connection, this);
+        }, why -> call.unreachable(why == Loop.DialFailure.REFUSED));
+        call.dialing(dial::cancel);
+    }
+
+    private EngineConnection freshestIdle() {
+        expire();
+        return idle.pollLast();
+    }
+
+    /** Closes what has been idle for so long that the engine may be about to close it itself. */
+    void expire() {
+        double oldest = Loop.now() - idleSeconds;
+        while (!idle.isEmpty() && idle.peek().idleSince < oldest) {
+            idle.poll().close();
+        }
+    }
+
+    /** Takes a connection back that can serve another call. */
+    void idle(EngineConnection connection) {
+        if (!listed || idle.size() >= MOST_IDLE) {
+            connection.close();
+            return;
+        }
+        connection.idleSince = Loop.now();
+        idle.add(connection);
+    }
+
+    /** The one place where a connection leaves the pool. */
+    void left(EngineConnection connection) {
+        all.remove(connection);
+        idle.remove(connection);
+    }
+
+    /** The engine has gone: idle connections are closed, others as soon as their call is over. */
+    void retire() {
+        listed = false;
+        ready = false;
+        while (!idle.isEmpty()) {
+            idle.poll().close();
+        }
+    }
+
+    boolean isEmpty() {
+        return all.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -0,0 +1,347 @@
+package junipercourse.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import junipercourse.core.Backend;
+import junipercourse.core.Backend.End;
+import junipercourse.core.Counters;
+import junipercourse.core.Counters.Count;
+import junipercourse.core.Query;
+import junipercourse.decision.DispatchApi.Outcome;
+import junipercourse.net.Deadlines;
+import junipercourse.net.Loop;
+
+/**
+ * One attempt of a query at one engine: starts it, asks for its news until it ends, then gets all pages. It
+ * is bound to no connection: if one breaks, the news is asked for again on another.
+ */
+final class Fetch implements Backend.Attempt {
+    /** The engine forgets a query that nobody has asked for in so long. */
+    private static final double FORGOTTEN_S = 2.0;
+    /** The engine answers each call within a quarter of a second; one this late is lost. */
+    private static final double ANSWER_S = 1.0;
+    private static final double ASK_AGAIN_S = 0.1;
+    private static final double MARGIN_S = 0.1;
+    private static final int MOST_PAGES = 64;
+
+    private final Loop loop;
+    private final EnginePool pool;
+    private final Query query;
+    private final double giveUpAt;
+    private final EngineClient.GaugeReader gauges;
+    private final Counters counters;
+    private final Backend.Ending ending;
+    private final List<byte[]> pages = new ArrayList<>();
+    private EngineCall call;
+    private Deadlines.Entry timer;
+    private int pageCount;
+    private boolean posted;
+    private double lastAsked;
+    private Outcome givenUpAs;
+    private HttpResponse goodEnd;
+    private boolean over;
+
+    Fetch(Loop loop, EnginePool pool, Query query, double giveUpAt, EngineClient.GaugeReader gauges,
+            Counters counters, Backend.Ending ending) {
+        this.loop = loop;
+        this.pool = pool;
+        this.query = query;
+        this.giveUpAt = giveUpAt;
+        this.gauges = gauges;
+        this.counters = counters;
+        this.ending = ending;
+    }
+
+    // ---- starting ----
+
+    void start() {
+        if (givenUpAs == null) {
+            run(post(), new Start(), false);
+        }
+    }
+
+    private byte[] post() {
+        long wait = Math.max(1, Math.round((giveUpAt - Loop.now()) * 1000));
+        StringBuilder head = new StringBuilder("POST /fetch HTTP/1.1\r\n").append("Host: engine\r\n")
+                .append("X-Txn: ").append(query.id()).append("\r\n")
+                .append("X-Lane: ").append(query.className()).append("\r\n")
+                .append("X-Limit-Ms: ").append(wait).append("\r\n");
+        if (query.idempotencyKey() != null) {
+            head.append("X-Dedupe: ").append(query.idempotencyKey()).append("\r\n");
+        }
+        head.append("Content-Length: ").append(query.statement().length).append("\r\n\r\n");
+        byte[] top = head.toString().getBytes(StandardCharsets.ISO_8859_1);
+        byte[] all = java.util.Arrays.copyOf(top, top.length + query.statement().length);
+        System.arraycopy(query.statement(), 0, all, top.length, query.statement().length);
+        return all;
+    }
+
+    private byte[] bare(String method, String rest) {
+        return (method + " /fetch/" + query.id() + rest + " HTTP/1.1\r\nHost: engine\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private void run(byte[] request, EngineCall.Listener listener, boolean fresh) {
+        call = new EngineCall(request, listener);
+        loop.cancel(timer);
+        EngineCall mine = call;
+        timer = loop.after(ANSWER_S, () -> {
+            mine.drop();
+            listener.broken();
+        });
+        pool.call(call, fresh);
+    }
+
+    /** What all calls have in common. */
+    private abstract class Step implements EngineCall.Listener {
+        @Override
+        public boolean mayWrite() {
+            lastAsked = Loop.now();
+            return true;
+        }
+
+        @Override
+        public void takenBack() {
+            throw new IllegalStateException("only a start is taken back");
+        }
+    }
+
+    private final class Start extends Step {
+        /** Guards drains: the list may have changed while the connection came up. */
+        @Override
+        public boolean mayWrite() {
+            posted = pool.ready() && givenUpAs == null;
+            return posted && super.mayWrite();
+        }
+
+        @Override
+        public void takenBack() {
+            end(End.of(Outcome.TURNED_AWAY));
+        }
+
+        @Override
+        public void unreachable(boolean refused) {
+            end(End.of(Outcome.UNREACHABLE));
+        }
+
+        @Override
+        public void answered(HttpResponse response) {
+            news(response);
+        }
+
+        /** It may have run and may be running: only the engine can tell. */
+        @Override
+        public void broken() {
+            if (posted) {
+                askAgain();
+            } else { // no connection for so long
+                end(End.of(Outcome.UNREACHABLE));
+            }
+        }
+    }
+
+    // ---- news ----
+
+    private final class Poll extends Step {
+        @Override
+        public void answered(HttpResponse response) {
+            news(response);
+        }
+
+        @Override
+        public void broken() {
+            askAgain();
+        }
+
+        @Override
+        public void unreachable(boolean refused) {
+            if (refused) { // the process has ended, and the query with it
+                end(End.of(Outcome.RESET));
+            } else {
+                askAgain();
+            }
+        }
+    }
+
+    private void askAgain() {
+        counters.add(Count.POLLS_ASKED_AGAIN);
+        if (Loop.now() > lastAsked + FORGOTTEN_S) {
+            end(End.of(Outcome.RESET));
+        } else {
+            later(ASK_AGAIN_S, () -> run(bare("GET", "/0"), new Poll(), true));
+        }
+    }
+
+    private void later(double delay, Runnable task) {
+        loop.cancel(timer);
+        timer = loop.after(delay, task);
+    }
+
+    private void news(HttpResponse response) {
+        boolean neverRan = "1".equals(response.header("x-unrun"));
+        switch (response.status()) {
+            case 200 -> goodEnd(response);
+            case 202 -> run(bare("GET", "/0"), new Poll(), false);
+            case 503 -> end(plain(neverRan ? Outcome.TURNED_AWAY : Outcome.ERROR, response));
+            case 504 -> end(plain(neverRan ? Outcome.MOOT : Outcome.ERROR, response));
+            default -> end(plain(Outcome.ERROR, response));
+        }
+    }
+
+    private End plain(Outcome outcome, HttpResponse response) {
+        return new End(outcome, gauges.read(response.header("x-gauges")), 0, 0, List.of());
+    }
+
+    // ---- pages ----
+
+    private void goodEnd(HttpResponse response) {
+        goodEnd = response;
+        pageCount = number(response.header("x-fetches"));
+        pages.clear();
+        if (pageCount < 1 || pageCount > MOST_PAGES) {
+            counters.add(Count.ENGINE_BYTES_GARBLED);
+            end(plain(Outcome.ERROR, response));
+            return;
+        }
+        pages.add(response.body());
+        nextPage(false);
+    }
+
+    private static int number(String text) {
+        try {
+            return text == null ? 1 : Integer.parseInt(text.trim());
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static double decimal(String text) {
+        try {
+            double d = text == null ? 0 : Double.parseDouble(text);
+            return d >= 0 && d < Double.POSITIVE_INFINITY ? d : 0;
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    private void nextPage(boolean fresh) {
+        if (pages.size() == pageCount) {
+            end(new End(Outcome.OK, gauges.read(goodEnd.header("x-gauges")),
+                    decimal(goodEnd.header("x-effort")) / 1000, decimal(goodEnd.header("x-footprint")),
+                    List.copyOf(pages)));
+        } else {
+            run(bare("GET", "/" + pages.size()), new Page(fresh), fresh);
+        }
+    }
+
+    private final class Page extends Step {
+        private final boolean again;
+
+        Page(boolean again) {
+            this.again = again;
+        }
+
+        @Override
+        public void answered(HttpResponse response) {
+            if (response.status() == 200 && number(response.header("x-fetch")) == pages.size()) {
+                pages.add(response.body());
+                nextPage(false);
+            } else {
+                end(plain(Outcome.ERROR, goodEnd));
+            }
+        }
+
+        @Override
+        public void broken() {
+            if (again) { // pages end with their engine
+                end(plain(Outcome.ERROR, goodEnd));
+            } else {
+                nextPage(true);
+            }
+        }
+
+        @Override
+        public void unreachable(boolean refused) {
+            broken();
+        }
+    }
+
+    // ---- giving up ----
+
+    @Override
+    public void giveUp(Outcome as) {
+        if (over || givenUpAs != null) {
+            return;
+        }
+        givenUpAs = as;
+        loop.cancel(timer);
+        if (call == null || !posted) { // nothing was written
+            if (call != null) {
+                call.ignore();
+            }
+            loop.execute(() -> end(End.of(as)));
+            return;
+        }
+        EngineCall ignored = call;
+        ignored.ignore();
+        loop.after(ANSWER_S, ignored::drop); // a silent engine's connection is not kept for its answer
+        delete(false);
+    }
+
+    private void delete(boolean fresh) {
+        run(bare("DELETE", ""), new Delete(fresh), fresh);
+    }
+
+    private final class Delete extends Step {
+        private final boolean again;
+
+        Delete(boolean again) {
+            this.again = again;
+        }
+
+        /** Asking the engine to forget a query does not keep it alive. */
+        @Override
+        public boolean mayWrite() {
+            return true;
+        }
+
+        @Override
+        public void answered(HttpResponse response) {
+            end(End.of(givenUpAs));
+        }
+
+        @Override
+        public void broken() {
+            if (again) {
+                untilForgotten();
+            } else {
+                delete(true);
+            }
+        }
+
+        @Override
+        public void unreachable(boolean refused) {
+            if (refused) {
+                end(End.of(givenUpAs));
+            } else {
+                untilForgotten();
+            }
+        }
+    }
+
+    /** Nobody answers: the query is surely gone once it has not been asked for long enough. */
+    private void untilForgotten() {
+        double gone = lastAsked + ANSWER_S + FORGOTTEN_S + MARGIN_S;
+        later(Math.max(0, gone - Loop.now()), () -> end(End.of(givenUpAs)));
+    }
+
+    /** The one place where an attempt ends. */
+    private void end(End end) {
+        if (!over) {
+            over = true;
+            loop.cancel(timer);
+            ending.ended(end);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/net/Deadlines.java
@@ -0,0 +1,49 @@
+package junipercourse.net;
+
+import java.util.TreeSet;
+
+/** All deadlines, in one ordered set. */
+public final class Deadlines {
+    private final TreeSet<Entry> entries = new TreeSet<>();
+    private long added;
+
+    /** One deadline. */
+    public static final class Entry implements Comparable<Entry> {
+        private final double time;
+        private final long seq;
+        private final Runnable task;
+
+        private Entry(double time, long seq, Runnable task) {
+            this.time = time;
+            this.seq = seq;
+            this.task = task;
+        }
+
+        @Override
+        public int compareTo(Entry other) {
+            return time != other.time ? Double.compare(time, other.time) : Long.compare(seq, other.seq);
+        }
+    }
+
+    Entry add(double time, Runnable task) {
+        Entry entry = new Entry(time, added++, task);
+        entries.add(entry);
+        return entry;
+    }
+
+    void remove(Entry entry) {
+        if (entry != null) {
+            entries.remove(entry);
+        }
+    }
+
+    /** The time of the next deadline; infinite without any. */
+    double next() {
+        return entries.isEmpty() ? Double.POSITIVE_INFINITY : entries.first().time;
+    }
+
+    /** Takes out the first task that is due, or null. */
+    Runnable poll(double now) {
+        return next() <= now ? entries.pollFirst().task : null;
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/net/Link.java
@@ -0,0 +1,192 @@
+package junipercourse.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import org.tinylog.Logger;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.ConduitStreamSinkChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/**
+ * A connection with a handler: bytes go to the handler as they come, and what is written waits here until
+ * the peer takes it. It is given back in one place, {@link #close}.
+ */
+public final class Link {
+    /** One buffer serves all reads: there is one I/O thread, and handlers keep no reference to it. */
+    private static final ByteBuffer READ = ByteBuffer.allocateDirect(64 * 1024);
+    private static final ByteBuffer WRITE = ByteBuffer.allocateDirect(64 * 1024);
+    private static final int MAX_READS_A_TURN = 8; // so that no one peer keeps the thread to itself
+
+    /** What happens on a link. */
+    public interface Handler {
+        /** Bytes have come; all of them are to be consumed or copied. */
+        void received(ByteBuffer bytes);
+
+        /** The peer has closed, or the connection broke; not called after {@link Link#close}. */
+        void disconnected();
+
+        /** An exception in the handler has cost this connection. */
+        default void crashed() {
+            disconnected();
+        }
+    }
+
+    private final StreamConnection connection;
+    private final ConduitStreamSourceChannel source;
+    private final ConduitStreamSinkChannel sink;
+    private final Handler handler;
+    private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
+    private long unsentBytes;
+    private boolean closed;
+    private boolean closing;
+
+    public Link(StreamConnection connection, Handler handler) {
+        this.connection = connection;
+        this.handler = handler;
+        source = connection.getSourceChannel();
+        sink = connection.getSinkChannel();
+        source.setReadListener(c -> readable());
+        sink.setWriteListener(c -> flush());
+        source.resumeReads();
+    }
+
+    private void readable() {
+        try {
+            for (int i = 0; i < MAX_READS_A_TURN && !closed && source.isReadResumed(); i++) {
+                READ.clear();
+                int n = source.read(READ);
+                if (n < 0) {
+                    fail();
+                    return;
+                }
+                if (n == 0) {
+                    return;
+                }
+                READ.flip();
+                handler.received(READ);
+            }
+        } catch (IOException e) {
+            fail();
+        } catch (RuntimeException e) {
+            Logger.error(e, "a connection's handler failed; the connection is closed");
+            if (!closed) {
+                close();
+                handler.crashed();
+            }
+        }
+    }
+
+    private void fail() {
+        if (!closed) {
+            close();
+            handler.disconnected();
+        }
+    }
+
+    /** Reading stops while a peer sends more than can be taken. */
+    public void reading(boolean on) {
+        if (closed) {
+            return;
+        }
+        if (on) {
+            source.resumeReads();
+        } else {
+            source.suspendReads();
+        }
+    }
+
+    /** Queues bytes for the peer and sends what it takes now. The array is not to be changed afterwards. */
+    public void write(byte[] bytes) {
+        if (closed || closing) {
+            return;
+        }
+        unsent.add(ByteBuffer.wrap(bytes));
+        unsentBytes += bytes.length;
+        flush();
+    }
+
+    /** Bytes that the peer has not taken yet. */
+    public long unsentBytes() {
+        return unsentBytes;
+    }
+
+    private void flush() {
+        try {
+            while (!unsent.isEmpty()) {
+                int n = sink.write(gather());
+                if (n == 0) {
+                    sink.resumeWrites();
+                    return;
+                }
+                drop(n);
+            }
+            sink.suspendWrites();
+            if (closing) {
+                close();
+            }
+        } catch (IOException e) {
+            // Told through the reading side's turn: a caller in the middle of its work is not called back.
+            unsent.clear();
+            unsentBytes = 0;
+            connection.getIoThread().execute(this::fail);
+        }
+    }
+
+    private static void copy(ByteBuffer from) {
+        ByteBuffer part = from.duplicate();
+        part.limit(part.position() + Math.min(part.remaining(), WRITE.remaining()));
+        WRITE.put(part);
+    }
+
+    private ByteBuffer gather() {
+        WRITE.clear();
+        for (ByteBuffer b : unsent) {
+            if (!WRITE.hasRemaining()) {
+                break;
+            }
+            copy(b);
+        }
+        return WRITE.flip();
+    }
+
+    private void drop(int written) {
+        unsentBytes -= written;
+        int left = written;
+        while (left > 0) {
+            ByteBuffer first = unsent.peek();
+            int n = Math.min(left, first.remaining());
+            first.position(first.position() + n);
+            left -= n;
+            if (!first.hasRemaining()) {
+                unsent.poll();
+            }
+        }
+    }
+
+    /** Closes once all that was written has gone out. */
+    public void closeAfterFlush() {
+        closing = true;
+        source.suspendReads();
+        if (unsent.isEmpty()) {
+            close();
+        }
+    }
+
+    /** Closes at once; the handler hears nothing more. */
+    public void close() {
+        if (!closed) {
+            closed = true;
+            closeQuietly(connection);
+        }
+    }
+
+    public boolean isClosed() {
+        return closed;
+    }
+
+    static void closeQuietly(StreamConnection connection) {
+        IoUtils.safeClose(connection);
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/pg/MessageWriter.java
@@ -0,0 +1,124 @@
+package junipercourse.pg;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+
+/** Builds the messages that a server sends. */
+final class MessageWriter {
+    private static final int COLUMNS = 3;
+    private static final int TEXT_OID = 25;
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream(256);
+
+    byte[] bytes() {
+        return out.toByteArray();
+    }
+
+    private MessageWriter message(char type, byte[] body) {
+        out.write(type);
+        out.writeBytes(ByteBuffer.allocate(4).putInt(body.length + 4).array());
+        out.writeBytes(body);
+        return this;
+    }
+
+    private static byte[] text(String s) {
+        return (s + "\0").getBytes(StandardCharsets.UTF_8);
+    }
+
+    MessageWriter authenticationOk() {
+        return message('R', new byte[4]);
+    }
+
+    MessageWriter parameter(String name, String value) {
+        return message('S', text(name + "\0" + value));
+    }
+
+    MessageWriter backendKey(int process, int secret) {
+        return message('K', ByteBuffer.allocate(8).putInt(process).putInt(secret).array());
+    }
+
+    /** Says that only version 3.0 is spoken here, and which options are not known. */
+    MessageWriter negotiate(List<String> unknownOptions) {
+        ByteArrayOutputStream b = new ByteArrayOutputStream();
+        b.writeBytes(ByteBuffer.allocate(8).putInt(0).putInt(unknownOptions.size()).array());
+        unknownOptions.forEach(o -> b.writeBytes(text(o)));
+        return message('v', b.toByteArray());
+    }
+
+    MessageWriter ready() {
+        return message('Z', new byte[] {'I'});
+    }
+
+    MessageWriter emptyQuery() {
+        return message('I', new byte[0]);
+    }
+
+    MessageWriter error(String severity, String code, String text) {
+        ByteArrayOutputStream b = new ByteArrayOutputStream();
+        b.writeBytes(text("S" + severity));
+        b.writeBytes(text("V" + severity));
+        b.writeBytes(text("C" + code));
+        b.writeBytes(text("M" + text));
+        b.write(0);
+        return message('E', b.toByteArray());
+    }
+
+    /** A whole result: its description, its rows and its end. */
+    MessageWriter result(List<byte[]> pages) {
+        ByteBuffer description = ByteBuffer.allocate(256).putShort((short) COLUMNS);
+        for (int i = 1; i <= COLUMNS; i++) {
+            description.put(text("c" + i)).putInt(0).putShort((short) 0).putInt(TEXT_OID)
+                    .putShort((short) -1).putInt(-1).putShort((short) 0);
+        }
+        message('T', Arrays.copyOf(description.array(), description.position()));
+        int rows = 0;
+        for (byte[] page : pages) {
+            int from = 0;
+            for (int i = 0; i < page.length; i++) {
+                if (page[i] == '\n') {
+                    row(page, from, i);
+                    from = i + 1;
+                    rows++;
+                }
+            }
+        }
+        return message('C', text("SELECT " + rows));
+    }
+
+    private void row(byte[] page, int from, int to) {
+        ByteBuffer body = ByteBuffer.allocate(2 + 4 * COLUMNS + to - from).putShort((short) COLUMNS);
+        int start = from;
+        for (int column = 1; column <= COLUMNS; column++) {
+            int end = start;
+            while (end < to && page[end] != '\t') {
+                end++;
+            }
+            body.putInt(end - start).put(page, start, end - start);
+            start = end + 1;
+        }
+        message('D', Arrays.copyOf(body.array(), body.position()));
+    }
+
+    /** Whether pages hold whole rows of three columns and nothing else. */
+    static boolean wellFormed(List<byte[]> pages) {
+        for (byte[] page : pages) {
+            int tabs = 0;
+            for (byte b : page) {
+                tabs += b == '\t' ? 1 : 0;
+                if (b == '\n') {
+                    if (tabs != COLUMNS - 1) {
+                        return false;
+                    }
+                    tabs = 0;
+                }
+            }
+            if (page.length > 0 && page[page.length - 1] != '\n') {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/pg/QueryReader.java
@@ -0,0 +1,136 @@
+package junipercourse.pg;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import junipercourse.core.Query;
+import junipercourse.decision.DispatchApi.Effect;
+import junipercourse.decision.DispatchApi.QueryClass;
+import junipercourse.decision.DispatchApi.Settings;
+
+/** Reads a query's fields from the comment before its statement. */
+final class QueryReader {
+    private static final long MOST_TIMEOUT_MS = 24 * 3600 * 1000L;
+
+    private final List<QueryClass> classes;
+    private final Map<String, Integer> classAt = new HashMap<>();
+    private final Map<String, Integer> tenantAt = new HashMap<>();
+
+    QueryReader(Settings settings) {
+        classes = settings.classes();
+        for (int i = 0; i < classes.size(); i++) {
+            classAt.put(classes.get(i).name(), i);
+        }
+        for (int i = 0; i < settings.tenants().size(); i++) {
+            tenantAt.put(settings.tenants().get(i).name(), i);
+        }
+    }
+
+    /** Reads a query whose last byte came at {@code arrived}. */
+    Query read(String text, double arrived) throws FieldException {
+        int open = 0;
+        while (open < text.length() && Character.isWhitespace(text.charAt(open))) {
+            open++;
+        }
+        if (!text.startsWith("/*", open)) {
+            throw new FieldException("kind", "missing; no comment with fields stands before the statement");
+        }
+        int end = Comments.end(text, open);
+        if (!text.startsWith("*/", end - 2) || end - 4 < open) {
+            throw new FieldException("kind", "missing; the comment with the fields stays open");
+        }
+        Map<String, String> fields = fields(text.substring(open + 2, end - 2));
+        int from = end;
+        while (from < text.length() && Character.isWhitespace(text.charAt(from))) {
+            from++;
+        }
+        return query(fields, text.substring(from), arrived);
+    }
+
+    private static Map<String, String> fields(String comment) throws FieldException {
+        Map<String, String> fields = new HashMap<>();
+        for (String part : comment.split(",")) {
+            int eq = part.indexOf('=');
+            if (eq >= 0) {
+                String name = part.substring(0, eq).trim();
+                if (fields.put(name, part.substring(eq + 1).trim()) != null) {
+                    throw new FieldException(name, "given twice");
+                }
+            }
+        }
+        return fields;
+    }
+
+    private Query query(Map<String, String> fields, String statement, double arrived) throws FieldException {
+        String kind = need(fields, "kind");
+        Integer at = classAt.get(kind);
+        if (at == null) {
+            throw new FieldException("kind", "unknown class " + quoted(kind));
+        }
+        QueryClass c = classes.get(at);
+        String id = need(fields, "req");
+        hex("req", id, 16);
+        double timeout = number("timeout", need(fields, "timeout"));
+        if (timeout < 1 || timeout > MOST_TIMEOUT_MS) {
+            throw new FieldException("timeout", "out of range: " + quoted(fields.get("timeout")));
+        }
+        String dedupe = c.effect() == Effect.BY_KEY ? need(fields, "opkey") : fields.get("opkey");
+        if (dedupe != null && !dedupe.matches("[0-9A-Za-z_.-]{1,128}")) {
+            throw new FieldException("opkey", "not a key: " + quoted(dedupe));
+        }
+        String subject = fields.get("subject");
+        String ms = fields.get("ms");
+        String ram = fields.get("ram");
+        String resent = fields.getOrDefault("resent", "0");
+        if (!resent.equals("0") && !resent.equals("1")) {
+            throw new FieldException("resent", "neither 0 nor 1: " + quoted(resent));
+        }
+        if (statement.isBlank()) {
+            throw new FieldException("statement", "missing");
+        }
+        return new Query(id, kind, at, tenant(fields), arrived + timeout / 1000, dedupe,
+                subject == null ? 0 : hex("subject", subject, 16), TableGroup.of(statement),
+                ms == null ? Double.NaN : number("ms", ms) / 1000, ram == null ? 0 : number("ram", ram),
+                resent.equals("1"), statement.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private int tenant(Map<String, String> fields) throws FieldException {
+        if (tenantAt.isEmpty()) {
+            return -1;
+        }
+        String owner = need(fields, "owner");
+        Integer at = tenantAt.get(owner);
+        if (at == null) {
+            throw new FieldException("owner", "unknown tenant " + quoted(owner));
+        }
+        return at;
+    }
+
+    private static String need(Map<String, String> fields, String name) throws FieldException {
+        String value = fields.get(name);
+        if (value == null || value.isEmpty()) {
+            throw new FieldException(name, "missing");
+        }
+        return value;
+    }
+
+    private static long hex(String name, String text, int digits) throws FieldException {
+        if (text.length() != digits || !text.matches("[0-9a-fA-F]+")) {
+            throw new FieldException(name, "not " + digits + " hexadecimal digits: " + quoted(text));
+        }
+        return Long.parseUnsignedLong(text, 16);
+    }
+
+    private static double number(String name, String text) throws FieldException {
+        if (!text.matches("[0-9]{1,15}(\\.[0-9]{1,15})?([eE][+-]?[0-9]{1,2})?")) {
+            throw new FieldException(name, "not a number: " + quoted(text));
+        }
+        return Double.parseDouble(text);
+    }
+
+    /** Short enough for a message, whatever the client sent. */
+    private static String quoted(String text) {
+        return "'" + (text.length() > 40 ? text.substring(0, 40) + "…" : text) + "'";
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -0,0 +1,221 @@
+package junipercourse.pg;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import junipercourse.core.Counters.Count;
+import junipercourse.core.Query;
+import junipercourse.core.Reply;
+import junipercourse.net.Link;
+import junipercourse.net.Loop;
+import org.xnio.StreamConnection;
+
+/** One client's connection. The front owns it and its slot. */
+final class Session implements Link.Handler, Reply {
+    private static final int PROTOCOL_MAJOR = 3;
+    private static final int CANCEL = 80877102;
+    private static final int SSL = 80877103;
+    private static final int GSS = 80877104;
+    private static final int MOST_AHEAD = 64 * 1024; // held of a client that writes on while it waits
+
+    private final PgFront front;
+    private final MessageReader in = new MessageReader();
+    private final Link link;
+    final int secret;
+    long slot;
+    double activeAt = Loop.now();
+    private boolean started;
+    private boolean waiting;
+    private long open;
+
+    Session(StreamConnection connection, PgFront front, int secret) {
+        this.front = front;
+        this.secret = secret;
+        this.link = new Link(connection, this);
+    }
+
+    /** Whether no query is open and the client may be closed. */
+    boolean idle() {
+        return !waiting;
+    }
+
+    // ---- what comes in ----
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        activeAt = Loop.now();
+        in.add(bytes);
+        work();
+    }
+
+    private void work() {
+        try {
+            while (!waiting && !link.isClosed() && step()) {
+                continue;
+            }
+            int most = waiting ? MOST_AHEAD : MessageReader.MAX_MESSAGE + 5;
+            link.reading(in.held() < most);
+        } catch (MessageReader.GarbledException e) {
+            front.counters().add(Count.CLIENT_PROTOCOL_ERRORS);
+            fatal("08P01", e.getMessage());
+        }
+    }
+
+    /** Takes one packet or message; false if more bytes are needed. */
+    private boolean step() throws MessageReader.GarbledException {
+        if (!started) {
+            MessageReader.Message m = in.startup();
+            if (m != null) {
+                startup(ByteBuffer.wrap(m.body()));
+            }
+            return m != null;
+        }
+        MessageReader.Message m = in.message();
+        if (m != null) {
+            message(m);
+        }
+        return m != null;
+    }
+
+    private void startup(ByteBuffer packet) throws MessageReader.GarbledException {
+        int code = packet.getInt();
+        if (code == SSL || code == GSS) {
+            link.write(new byte[] {'N'});
+        } else if (code == CANCEL) {
+            if (packet.remaining() == 8) {
+                front.cancel(packet.getInt(), packet.getInt());
+            }
+            close();
+        } else if (code >>> 16 == PROTOCOL_MAJOR) {
+            start(code & 0xffff, packet);
+        } else {
+            throw new MessageReader.GarbledException("protocol version " + (code >>> 16) + "."
+                    + (code & 0xffff) + " is not spoken here");
+        }
+    }
+
+    private void start(int minor, ByteBuffer packet) throws MessageReader.GarbledException {
+        String[] words = new String(packet.array(), packet.position(), packet.remaining(),
+                StandardCharsets.UTF_8).split("\0", -1);
+        boolean user = false;
+        List<String> unknown = new ArrayList<>();
+        for (int i = 0; i + 1 < words.length && !words[i].isEmpty(); i += 2) {
+            user |= words[i].equals("user") && !words[i + 1].isEmpty();
+            if (words[i].startsWith("_pq_.")) {
+                unknown.add(words[i]);
+            }
+        }
+        if (!user) {
+            throw new MessageReader.GarbledException("the start-up packet names no user");
+        }
+        started = true;
+        MessageWriter out = new MessageWriter();
+        if (minor > 0 || !unknown.isEmpty()) {
+            out.negotiate(unknown);
+        }
+        link.write(out.authenticationOk().parameter("server_version", "15.0")
+                .parameter("server_encoding", "UTF8").parameter("client_encoding", "UTF8")
+                .parameter("DateStyle", "ISO, MDY").parameter("integer_datetimes", "on")
+                .parameter("standard_conforming_strings", "on")
+                .backendKey((int) slot, secret).ready().bytes());
+    }
+
+    private void message(MessageReader.Message m) {
+        switch (m.type()) {
+            case 'Q' -> query(m.body());
+            case 'X' -> close();
+            case 'H', 'S' -> {
+                if (m.type() == 'S') {
+                    link.write(new MessageWriter().ready().bytes());
+                }
+            }
+            default -> {
+                front.counters().add(Count.CLIENT_PROTOCOL_ERRORS);
+                fatal("0A000", "only simple queries are taken here, no message of type " + (int) m.type());
+            }
+        }
+    }
+
+    private void query(byte[] body) {
+        if (body.length == 0 || body[body.length - 1] != 0) {
+            front.counters().add(Count.CLIENT_PROTOCOL_ERRORS);
+            fatal("08P01", "a query without its end");
+            return;
+        }
+        String text = new String(body, 0, body.length - 1, StandardCharsets.UTF_8);
+        if (text.isBlank()) {
+            link.write(new MessageWriter().emptyQuery().ready().bytes());
+            return;
+        }
+        Query query;
+        try {
+            query = front.reader().read(text, activeAt);
+        } catch (FieldException e) {
+            front.counters().add(Count.QUERIES_MALFORMED);
+            link.write(new MessageWriter().error("ERROR", "22023", e.getMessage()).ready().bytes());
+            return;
+        }
+        waiting = true;
+        open = front.gateway().take(query, this);
+    }
+
+    /** The client no longer wants its answer; it is told so, as a server would. */
+    void cancelled() {
+        if (waiting) {
+            front.gateway().abandon(open);
+            answer(new MessageWriter().error("ERROR", "57014", "canceling statement due to user request"));
+        }
+    }
+
+    // ---- what goes out ----
+
+    @Override
+    public void served(List<byte[]> pages) {
+        answer(new MessageWriter().result(pages));
+    }
+
+    @Override
+    public void refused(double coolDown, String why) {
+        String wait = coolDown > 0 ? "; holdoff=" + Math.round(coolDown * 1000) : "";
+        answer(new MessageWriter().error("ERROR", "53300", why + wait));
+    }
+
+    @Override
+    public void failed(String why) {
+        answer(new MessageWriter().error("ERROR", "58000", why));
+    }
+
+    private void answer(MessageWriter out) {
+        waiting = false;
+        activeAt = Loop.now();
+        link.write(out.ready().bytes());
+        front.loop().execute(this::work); // a next query may have come already
+    }
+
+    private void fatal(String code, String why) {
+        link.write(new MessageWriter().error("FATAL", code, why).bytes());
+        link.closeAfterFlush();
+        leave();
+    }
+
+    // ---- the end ----
+
+    @Override
+    public void disconnected() {
+        leave();
+    }
+
+    void close() {
+        link.close();
+        leave();
+    }
+
+    private void leave() {
+        if (waiting) {
+            waiting = false;
+            front.gateway().abandon(open);
+        }
+        front.left(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/roster/RosterClient.java
@@ -0,0 +1,116 @@
+package junipercourse.roster;
+
+import com.eclipsesource.json.JsonObject;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.List;
+import junipercourse.core.Backend.Member;
+import junipercourse.core.Counters;
+import junipercourse.core.Counters.Count;
+import junipercourse.decision.DispatchApi.RosterKind;
+import junipercourse.net.Deadlines;
+import junipercourse.net.Link;
+import junipercourse.net.Loop;
+import org.tinylog.Logger;
+import org.xnio.StreamConnection;
+
+/** Follows the event bus from the last event it has, over as many connections as that takes. */
+public final class RosterClient implements Link.Handler {
+    private static final double DIAL_TIMEOUT_S = 1.0;
+    private static final double SILENCE_S = 2.5; // an empty frame comes each second
+    private static final double RETRY_FIRST_S = 0.1;
+    private static final double RETRY_MOST_S = 1.0;
+
+    /** Takes the news of the list. */
+    public interface Listener {
+        void roster(RosterKind kind, List<Member> members);
+    }
+
+    private final Loop loop;
+    private final InetSocketAddress bus;
+    private final Listener listener;
+    private final Counters counters;
+    private Link link;
+    private BusFrames frames;
+    private Deadlines.Entry silence;
+    private double retry = RETRY_FIRST_S;
+    private long last;
+
+    public RosterClient(Loop loop, InetSocketAddress bus, Listener listener, Counters counters) {
+        this.loop = loop;
+        this.bus = bus;
+        this.listener = listener;
+        this.counters = counters;
+    }
+
+    /** Takes in the events of the start; {@code zones} and {@code kinds} are the settings' lists. */
+    public void known(JsonObject known, List<String> zones, List<String> kinds) {
+        RosterKind kind = RosterKind.CACHED;
+        for (KnownEvents.Event e : new KnownEvents(zones, kinds).read(known)) {
+            listener.roster(e.whole() ? kind : RosterKind.DELTA, e.members());
+            last = Math.max(last, e.offset());
+        }
+        last = Math.max(last, known.getLong("offset", 0));
+    }
+
+    /** Connects, and goes on doing so whenever the connection is lost. */
+    public void follow() {
+        loop.dial(bus, DIAL_TIMEOUT_S, this::connected, why -> again());
+    }
+
+    private void connected(StreamConnection connection) {
+        counters.add(Count.ROSTER_CONNECTIONS);
+        frames = new BusFrames();
+        link = new Link(connection, this);
+        link.write(ByteBuffer.allocate(Long.BYTES).putLong(last).array());
+        listen();
+    }
+
+    private void listen() {
+        loop.cancel(silence);
+        silence = loop.after(SILENCE_S, () -> {
+            Logger.warn("the event bus is silent; connecting again");
+            drop();
+        });
+    }
+
+    private void drop() {
+        link.close();
+        disconnected();
+    }
+
+    private void again() {
+        loop.after(retry, this::follow);
+        retry = Math.min(RETRY_MOST_S, retry * 2);
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        listen();
+        frames.add(bytes);
+        try {
+            for (BusFrames.Frame f = frames.next(); f != null; f = frames.next()) {
+                retry = RETRY_FIRST_S;
+                take(f);
+            }
+        } catch (BusFrames.GarbledException e) {
+            counters.add(Count.ROSTER_BYTES_GARBLED);
+            Logger.warn("event bus: {}; connecting again", e.getMessage());
+            drop();
+        }
+    }
+
+    private void take(BusFrames.Frame f) {
+        if (f.kind() != BusFrames.Kind.NOTHING && f.number() > last) {
+            last = f.number();
+            listener.roster(f.kind() == BusFrames.Kind.WHOLE ? RosterKind.FULL : RosterKind.DELTA,
+                    f.members());
+        }
+    }
+
+    @Override
+    public void disconnected() {
+        loop.cancel(silence);
+        again();
+    }
+}
--- a/src/main/java/junipercourse/sim/SimHost.java
+++ b/src/main/java/junipercourse/sim/SimHost.java
@@ -1,5 +1,6 @@
 package junipercourse.sim;
 
+import junipercourse.config.SettingsReader;
 import junipercourse.decision.DispatchApi.AttemptEnd;
 import junipercourse.decision.DispatchApi.Engine;
 import junipercourse.decision.DispatchApi.EngineId;
@@ -10,7 +11,6 @@
 import junipercourse.decision.DispatchApi.RosterKind;
 import junipercourse.decision.Dispatcher;
 import junipercourse.sim.Wire.WireException;
-import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -36,20 +36,12 @@
     private final PrintStream errors;
     private long target = -1;
 
-    SimHost(PrintStream errors) {
+    public SimHost(PrintStream errors) {
         this.errors = errors;
     }
 
-    /** Runs the adapter. */
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar junipercourse.jar simhost");
-            System.exit(2);
-        }
-        System.exit(new SimHost(System.err).run(new BufferedInputStream(System.in, 1 << 16), System.out));
-    }
-
-    int run(InputStream in, OutputStream out) {
+    /** Answers batches until the input ends; returns the exit code. */
+    public int run(InputStream in, OutputStream out) {
         try {
             ByteArrayOutputStream frame = new ByteArrayOutputStream(4096);
             byte[] body = nextBody(in);
--- a/src/test/java/junipercourse/sim/SimHostTest.java
+++ b/src/test/java/junipercourse/sim/SimHostTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import junipercourse.config.SettingsReader;
 import junipercourse.decision.DispatchApi.Effect;
 import junipercourse.decision.DispatchApi.Settings;
 import java.io.ByteArrayInputStream;
