--- /dev/null
+++ b/src/test/java/junipercourse/TestBench.java
@@ -0,0 +1,312 @@
+package junipercourse;
+
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import junipercourse.config.Config;
+import junipercourse.core.Backend.Member;
+import junipercourse.core.Counters;
+import junipercourse.core.Gateway;
+import junipercourse.decision.DispatchApi.Engine;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.RosterKind;
+import junipercourse.decision.DispatchApi.Settings;
+import junipercourse.decision.DispatchApi.Stage;
+import junipercourse.engine.EngineClient;
+import junipercourse.net.Loop;
+import junipercourse.pg.PgFront;
+
+/** A dispatcher on real sockets of this machine, with clients and scripted engines around it. */
+public final class TestBench implements Closeable {
+    public static final String CONFIG = """
+            {"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","bus":"127.0.0.1:1",
+             "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+             "known":{"offset":0,"batch":[]},
+             "settings":{"balancers":1,"dcs":["east"],"kinds":["std"],"telemetry":{"via":"inline",
+               "fields":["q","busy"]},"tenants":[{"name":"acme","portion":1.0,"quota_per_s":50.0}],
+               "limits":{"cancel":true,"try_limit":6,"retry_after":true,"max_retry_after_s":0.5,
+                 "dial_timeout_s":0.25,"conn_idle_s":30.0},
+               "guarantees":{"order_settle_s":0.5,"drain_grace_s":1.0},
+               "family_info":{"class_threads":[1,2],"size_cores":[12],"says_cost":true},
+               "grades":[{"name":"check","effect":"repeatable","goal_time_s":1.5,"deadline_s":7.5},
+                 {"name":"load","effect":"by_key","key_scope":"all","window_s":12.0,"serial_by_key":true,
+                  "goal_time_s":3.0,"deadline_s":20.0}]}}""";
+    public static final String OK = "HTTP/1.1 200 OK\r\nX-Fetches: 1\r\nContent-Length: 6\r\n\r\na\tb\tc\n";
+    public static final String RUNNING = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+    public static final String GIVEN_UP = "HTTP/1.1 204 No Content\r\n\r\n";
+    public static final String FULL = "HTTP/1.1 503 Full\r\nX-Unrun: 1\r\nContent-Length: 0\r\n\r\n";
+    public static final String FAILED = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n";
+    /** Scripts' words for an engine that breaks the connection, and for one that says nothing. */
+    public static final String BREAK = "break";
+    public static final String SILENCE = "silence";
+    private static final long PATIENCE_MS = 5000;
+
+    public final Counters counters = new Counters();
+    private final List<Closeable> parts = new ArrayList<>();
+    private final Loop loop;
+    private final Gateway gateway;
+    private final PgFront front;
+
+    public TestBench() throws IOException {
+        Config config = Config.parse(CONFIG, Map.of());
+        loop = new Loop();
+        EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(), counters);
+        gateway = new Gateway(loop, config.settings(), 7, engines, counters);
+        front = new PgFront(loop, config.settings(), gateway, 100, 7, counters);
+        front.listen(config.listen());
+    }
+
+    public static Settings settings() {
+        return Config.parse(CONFIG, Map.of()).settings();
+    }
+
+    /** A query of a class with fresh fields around a statement. */
+    public static String query(String kind, int number, long timeoutMs) {
+        return "/* kind=%s,req=%016x,timeout=%d,owner=acme,opkey=k%d,subject=00000000000000aa */ SELECT 1"
+                .formatted(kind, number, timeoutMs, number);
+    }
+
+    public static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + PATIENCE_MS * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("not within " + PATIENCE_MS + " ms");
+            }
+            pause(2);
+        }
+    }
+
+    public static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Starts an engine and puts it on the list. */
+    public StubEngine engine(int id, Function<String, String> script) throws IOException {
+        StubEngine e = new StubEngine(script);
+        parts.add(e);
+        list(id, e, Stage.READY);
+        return e;
+    }
+
+    /** Tells a change of the list and returns once it has been taken in. */
+    public void list(int id, StubEngine e, Stage stage) {
+        CountDownLatch done = new CountDownLatch(1);
+        Engine entry = new Engine(new EngineId(id), 0, 0, 0, stage, 1, 0);
+        loop.execute(() -> {
+            gateway.roster(RosterKind.DELTA, List.of(new Member(entry, e.address())));
+            loop.execute(done::countDown);
+        });
+        await(() -> done.getCount() == 0);
+    }
+
+    public Client client() throws IOException {
+        Client c = new Client(front.address());
+        parts.add(c);
+        return c;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Closeable part : parts) {
+            part.close();
+        }
+        loop.stop();
+    }
+
+    /** An engine that answers each call, such as {@code POST /fetch}, as its script says. */
+    public static final class StubEngine implements Closeable {
+        public final List<String> calls = new CopyOnWriteArrayList<>();
+        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final List<Socket> open = new CopyOnWriteArrayList<>();
+        private final Function<String, String> script;
+
+        StubEngine(Function<String, String> script) throws IOException {
+            this.script = script;
+            daemon(() -> {
+                while (true) {
+                    Socket s = server.accept();
+                    open.add(s);
+                    daemon(() -> serve(s));
+                }
+            });
+        }
+
+        public InetSocketAddress address() {
+            return (InetSocketAddress) server.getLocalSocketAddress();
+        }
+
+        public long count(String start) {
+            return calls.stream().filter(c -> c.startsWith(start)).count();
+        }
+
+        private void serve(Socket s) throws IOException {
+            InputStream in = s.getInputStream();
+            for (String first = line(in); !first.isEmpty(); first = line(in)) {
+                int body = 0;
+                for (String h = line(in); !h.isEmpty(); h = line(in)) {
+                    body = h.startsWith("Content-Length: ") ? Integer.parseInt(h.substring(16)) : body;
+                }
+                in.readNBytes(body);
+                String call = first.replace(" HTTP/1.1", "");
+                calls.add(call);
+                String answer = script.apply(call);
+                if (answer.equals(BREAK)) {
+                    s.close();
+                    return;
+                }
+                if (!answer.equals(SILENCE)) {
+                    s.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                }
+            }
+        }
+
+        private static String line(InputStream in) throws IOException {
+            StringBuilder line = new StringBuilder();
+            for (int c = in.read(); c >= 0 && c != '\n'; c = in.read()) {
+                line.append((char) c);
+            }
+            return line.toString().trim();
+        }
+
+        /** Ends as a process does: its connections break and new ones are refused. */
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket s : open) {
+                s.close();
+            }
+        }
+    }
+
+    /** A client of the PostgreSQL front. */
+    public static final class Client implements Closeable {
+        public final Socket socket;
+        private final InetSocketAddress front;
+        private final DataInputStream in;
+        private byte[] key;
+
+        Client(InetSocketAddress front) throws IOException {
+            this.front = front;
+            socket = new Socket(front.getAddress(), front.getPort());
+            socket.setSoTimeout((int) PATIENCE_MS * 2);
+            in = new DataInputStream(socket.getInputStream());
+        }
+
+        public static byte[] startup() {
+            byte[] words = "user\0app\0database\0analytics\0\0".getBytes(StandardCharsets.UTF_8);
+            return ByteBuffer.allocate(8 + words.length).putInt(8 + words.length).putInt(196608).put(words)
+                    .array();
+        }
+
+        public static byte[] message(String sql) {
+            byte[] text = (sql + "\0").getBytes(StandardCharsets.UTF_8);
+            return ByteBuffer.allocate(5 + text.length).put((byte) 'Q').putInt(4 + text.length).put(text)
+                    .array();
+        }
+
+        public void write(byte[]... parts) throws IOException {
+            OutputStream out = socket.getOutputStream();
+            for (byte[] part : parts) {
+                out.write(part);
+            }
+        }
+
+        /** Starts the session. */
+        public Client start() throws IOException {
+            write(startup());
+            answer();
+            return this;
+        }
+
+        public String ask(String sql) throws IOException {
+            write(message(sql));
+            return answer();
+        }
+
+        /** What comes until the server is ready or closes, such as {@code T D(a b c) C(SELECT 1)}. */
+        public String answer() throws IOException {
+            StringBuilder out = new StringBuilder();
+            for (int type = in.read(); type >= 0 && type != 'Z'; type = in.read()) {
+                byte[] body = in.readNBytes(in.readInt() - 4);
+                key = type == 'K' ? body : key;
+                if ("TDCEI".indexOf(type) >= 0) {
+                    out.append(out.isEmpty() ? "" : " ").append((char) type).append(shown((char) type, body));
+                }
+                if (type == 'E' && new String(body, StandardCharsets.UTF_8).contains("FATAL")) {
+                    return out.append(" closed=").append(in.read() < 0).toString();
+                }
+            }
+            in.skipBytes(5);
+            return out.toString();
+        }
+
+        private static String shown(char type, byte[] body) {
+            String text = new String(body, StandardCharsets.UTF_8);
+            return switch (type) {
+                case 'C' -> "(" + text.substring(0, text.length() - 1) + ")";
+                case 'E' -> "(" + text.split("\0C")[1].replaceFirst("\0M", " ").split("\0")[0] + ")";
+                case 'D' -> {
+                    ByteBuffer b = ByteBuffer.wrap(body);
+                    List<String> columns = new ArrayList<>();
+                    for (int n = b.getShort(); n > 0; n--) {
+                        byte[] column = new byte[b.getInt()];
+                        b.get(column);
+                        columns.add(new String(column, StandardCharsets.UTF_8));
+                    }
+                    yield "(" + String.join(" ", columns) + ")";
+                }
+                default -> "";
+            };
+        }
+
+        /** Sends a CancelRequest with this session's key over a connection of its own. */
+        public void cancel() throws IOException {
+            try (Socket s = new Socket(front.getAddress(), front.getPort())) {
+                s.getOutputStream().write(ByteBuffer.allocate(16).putInt(16).putInt(80877102).put(key).array());
+                s.getInputStream().read();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    /** Work that may end with its socket. */
+    public interface Task {
+        void run() throws IOException;
+    }
+
+    public static void daemon(Task task) {
+        Thread t = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException | UncheckedIOException e) {
+                return; // the socket was closed
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+}
--- /dev/null
+++ b/src/test/java/junipercourse/core/RulesOnSocketsTest.java
@@ -0,0 +1,152 @@
+package junipercourse.core;
+
+import static junipercourse.TestBench.FAILED;
+import static junipercourse.TestBench.FULL;
+import static junipercourse.TestBench.GIVEN_UP;
+import static junipercourse.TestBench.OK;
+import static junipercourse.TestBench.RUNNING;
+import static junipercourse.TestBench.query;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import junipercourse.TestBench;
+import junipercourse.TestBench.Client;
+import junipercourse.TestBench.StubEngine;
+import junipercourse.decision.DispatchApi.Stage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** One test with real sockets for each rule. */
+class RulesOnSocketsTest {
+    private static final String SERVED = "T D(a b c) C(SELECT 1)";
+    private final TestBench bench;
+
+    RulesOnSocketsTest() throws Exception {
+        bench = new TestBench();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        bench.close();
+    }
+
+    private static String slowly(long ms, String answer) {
+        TestBench.pause(ms);
+        return answer;
+    }
+
+    /** Rule 1: a silent engine costs its answer, not the answer's time. */
+    @Test
+    void everyQueryIsAnsweredBeforeItsClientGivesUp() throws Exception {
+        bench.engine(1, call -> TestBench.SILENCE);
+        Client client = bench.client().start();
+        long from = System.nanoTime();
+        assertTrue(client.ask(query("check", 1, 700)).startsWith("E(53"));
+        assertTrue(System.nanoTime() - from < 700_000_000L);
+        bench.engine(2, call -> OK); // and the session goes on
+        assertEquals(SERVED, client.ask(query("check", 2, 5000)));
+    }
+
+    /** Rule 2: a broken poll is no end; the query is asked for again and not sent twice. */
+    @Test
+    void aBrokenConnectionDoesNotSendTheQueryTwice() throws Exception {
+        AtomicInteger polls = new AtomicInteger();
+        StubEngine e = bench.engine(1, call -> call.startsWith("POST") ? RUNNING
+                : polls.incrementAndGet() == 1 ? TestBench.BREAK : OK);
+        assertEquals(SERVED, bench.client().start().ask(query("load", 1, 5000)));
+        assertEquals(1, e.count("POST"));
+    }
+
+    /** Rule 2: an engine that proves it never ran the query lets it go elsewhere. */
+    @Test
+    void aFullEngineAndADeadOneLeaveTheQueryToOthers() throws Exception {
+        StubEngine full = bench.engine(1, call -> FULL);
+        StubEngine dead = bench.engine(2, call -> OK);
+        dead.close();
+        bench.engine(3, call -> OK);
+        Client client = bench.client().start();
+        for (int i = 0; i < 5; i++) {
+            assertEquals(SERVED, client.ask(query("load", 1, 5000)));
+        }
+        assertTrue(full.calls.size() <= 5);
+    }
+
+    /** Rule 3: nothing new goes to an engine that drains. */
+    @Test
+    void aDrainingEngineGetsNothingNew() throws Exception {
+        StubEngine leaving = bench.engine(1, call -> OK);
+        Client client = bench.client().start();
+        assertEquals(SERVED, client.ask(query("check", 1, 5000)));
+        bench.list(1, leaving, Stage.DRAINING);
+        assertTrue(client.ask(query("check", 2, 400)).startsWith("E(53"));
+        assertEquals(1, leaving.calls.size());
+    }
+
+    /** Rule 3: an engine that takes over an address is another engine. */
+    @Test
+    void anAddressTakenOverGetsConnectionsOfItsOwn() throws Exception {
+        StubEngine e = bench.engine(1, call -> OK);
+        Client client = bench.client().start();
+        assertEquals(SERVED, client.ask(query("check", 1, 5000)));
+        bench.list(1, e, Stage.GONE);
+        bench.list(2, e, Stage.READY);
+        assertEquals(SERVED, client.ask(query("check", 2, 5000)));
+        assertEquals(2, bench.counters.get(Counters.Count.ENGINE_CONNECTIONS_OPENED));
+    }
+
+    /** Rule 5: queries of one key run one at a time, and rest after one that was called off. */
+    @Test
+    void aKeyKeepsItsOrderAndRestsAfterACancel() throws Exception {
+        AtomicLong deleted = new AtomicLong();
+        AtomicLong second = new AtomicLong();
+        StubEngine e = bench.engine(1, call -> {
+            if (call.startsWith("DELETE")) {
+                deleted.set(System.nanoTime());
+                return slowly(100, GIVEN_UP);
+            }
+            if (call.startsWith("POST") && deleted.get() > 0) {
+                second.set(System.nanoTime());
+                return OK;
+            }
+            return slowly(50, RUNNING);
+        });
+        Client first = bench.client().start();
+        first.write(Client.message(query("load", 1, 9000)));
+        TestBench.await(() -> e.count("POST") == 1);
+        Client next = bench.client().start();
+        next.write(Client.message(query("load", 2, 9000)));
+        TestBench.pause(150);
+        assertEquals(1, e.count("POST"), "the second ran beside the first");
+        first.cancel();
+        assertEquals("E(57014 canceling statement due to user request)", first.answer());
+        assertEquals(SERVED, next.answer());
+        // the rest counts from the DELETE's answer, 100 ms after its arrival
+        assertTrue(second.get() - deleted.get() >= 600_000_000L);
+    }
+
+    /** A client that leaves, at whatever moment, frees the engine. */
+    @Test
+    void aClientThatLeavesFreesTheEngine() throws Exception {
+        StubEngine e = bench.engine(1, call -> call.startsWith("DELETE") ? GIVEN_UP : slowly(50, RUNNING));
+        try (Client client = bench.client().start()) {
+            client.write(Client.message(query("check", 1, 9000)));
+            TestBench.await(() -> e.count("POST") == 1);
+        }
+        TestBench.await(() -> e.count("DELETE /fetch/0000000000000001") == 1);
+    }
+
+    /** All pages are there before the first row goes out; a lost page is an error and tried again. */
+    @Test
+    void aLostPageStartsTheQueryAgainBeforeAnyRowIsOut() throws Exception {
+        AtomicInteger lost = new AtomicInteger();
+        String head = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n";
+        StubEngine e = bench.engine(1, call -> call.startsWith("POST")
+                ? head + "X-Fetches: 3\r\n\r\na\tb\tc\n" : call.endsWith("/2") && lost.incrementAndGet() == 1
+                ? FAILED : head + "X-Fetch: " + call.charAt(call.length() - 1) + "\r\n\r\nd\t\tef\n");
+        assertEquals("T D(a b c) D(d  ef) D(d  ef) C(SELECT 3)",
+                bench.client().start().ask(query("check", 1, 5000)));
+        assertEquals(2, e.count("POST"));
+    }
+}
--- /dev/null
+++ b/src/test/java/junipercourse/engine/HttpParserTest.java
@@ -0,0 +1,71 @@
+package junipercourse.engine;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import junipercourse.decision.DispatchApi.LoadField;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class HttpParserTest {
+    private static String unescaped(String text) {
+        return text.replace("~", "\r\n");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "HTTP/1.1 202 Accepted~Content-Length: 0~~ | 202 '' true",
+        "HTTP/1.1 200 OK~content-LENGTH:3~X-Fetches: 2~~abc | 200 'abc' true",
+        "HTTP/1.1 204 No Content~~ | 204 '' true",
+        "HTTP/1.1 200~Content-Length: 1~Connection: close~~x | 200 'x' false",
+        "HTTP/1.0 200 OK~Content-Length: 1~~x | 200 'x' false",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~3;a=b~abc~2~de~0~T: x~~ | 200 'abcde' true",
+        "HTTP/1.1 100 Continue~~HTTP/1.1 500 Oops~Content-Length: 2~~no | 500 'no' true",
+        "HTTP/1.1 202 A~Content-Length: 0~~HTTP/1.1 204 B~~ | 202 '' true 204 '' true"})
+    void readsResponsesInAnyPieces(String text, String expected) throws HttpParser.GarbledException {
+        byte[] bytes = unescaped(text).getBytes(StandardCharsets.ISO_8859_1);
+        for (int piece = 1; piece <= bytes.length; piece++) {
+            HttpParser parser = new HttpParser();
+            List<String> got = new ArrayList<>();
+            for (int at = 0; at < bytes.length; at += piece) {
+                ByteBuffer in = ByteBuffer.wrap(bytes, at, Math.min(piece, bytes.length - at));
+                for (HttpResponse r = parser.read(in); r != null; r = parser.read(in)) {
+                    got.add(r.status() + " '" + new String(r.body(), StandardCharsets.ISO_8859_1) + "' "
+                            + r.keepAlive());
+                }
+            }
+            assertEquals(expected, String.join(" ", got), "pieces of " + piece);
+            assertTrue(parser.atStart());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"SSH-2.0-x~", "HTTP/2 200 OK~", "HTTP/1.1 abc~",
+        "HTTP/1.1 200 OK~no colon~", "HTTP/1.1 200 OK~~", "HTTP/1.1 200 OK~Content-Length: -1~~",
+        "HTTP/1.1 200 OK~Content-Length: 99999999~~", "HTTP/1.1 200 OK~Content-Length: x~~",
+        "HTTP/1.1 200 OK~Content-Length: 1~Content-Length: 2~", "HTTP/1.1 200 OK~Transfer-Encoding: gzip~~",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~zz~", "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1~xyz~"})
+    void garbledBytesAreTold(String text) {
+        ByteBuffer in = ByteBuffer.wrap(unescaped(text).getBytes(StandardCharsets.ISO_8859_1));
+        assertThrows(HttpParser.GarbledException.class, () -> new HttpParser().read(in));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', nullValues = "null", value = {
+        "queue:7;util:0.61 | 7 0.61", "util:0.61; queue:7;other:1 | 7 0.61", "queue:7 | ''", "null | ''",
+        "queue:x;util:1 | ''", "queue:-1;util:1 | ''", "queue;util | ''"})
+    void readsLoadReportsWholeOrNotAtAll(String text, String expected) {
+        float[] got = new EngineClient.GaugeReader(List.of(LoadField.WAITING, LoadField.BUSY)).read(text);
+        float[] want = new float[expected.isEmpty() ? 0 : 2];
+        for (int i = 0; i < want.length; i++) {
+            want[i] = Float.parseFloat(expected.split(" ")[i]);
+        }
+        assertArrayEquals(want, got);
+    }
+}
--- /dev/null
+++ b/src/test/java/junipercourse/roster/BusFramesTest.java
@@ -0,0 +1,76 @@
+package junipercourse.roster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.eclipsesource.json.Json;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import junipercourse.config.ConfigException;
+import junipercourse.config.Config;
+import junipercourse.core.Backend.Member;
+import junipercourse.decision.DispatchApi.Engine;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.Stage;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class BusFramesTest {
+    private static final String EMPTY = "00000009" + "0000000000000029" + "00";
+    private static final String CHANGE = "00000024" + "000000000000002a" + "02"
+            + "00c41f7a" + "0a010009" + "1b59" + "01" + "00" + "00" + "0002" + "00000fa0" + "0000000000001388";
+    private static final Member MEMBER = new Member(
+            new Engine(new EngineId(0xc41f7aL), 0, 0, 2, Stage.DRAINING, 4, 5),
+            Config.address("x", "10.1.0.9:7001"));
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 13, 14, 100})
+    void readsFramesInAnyPieces(int piece) throws BusFrames.GarbledException {
+        byte[] bytes = HexFormat.of().parseHex(EMPTY + CHANGE);
+        BusFrames frames = new BusFrames();
+        List<BusFrames.Frame> got = new ArrayList<>();
+        for (int at = 0; at < bytes.length; at += piece) {
+            frames.add(ByteBuffer.wrap(bytes, at, Math.min(piece, bytes.length - at)));
+            for (BusFrames.Frame f = frames.next(); f != null; f = frames.next()) {
+                got.add(f);
+            }
+        }
+        assertEquals(List.of(new BusFrames.Frame(BusFrames.Kind.NOTHING, 41, List.of()),
+                new BusFrames.Frame(BusFrames.Kind.CHANGES, 42, List.of(MEMBER))), got);
+        assertNull(frames.next());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"00000008000000000000000000", "7fffffff000000000000000000", "00000009000000000000000003",
+        "0000000a00000000000000000000", "0000000a00000000000000000100"})
+    void garbledFramesAreTold(String hex) {
+        BusFrames frames = new BusFrames();
+        frames.add(ByteBuffer.wrap(HexFormat.of().parseHex(hex)));
+        assertThrows(BusFrames.GarbledException.class, frames::next);
+    }
+
+    private static List<KnownEvents.Event> known(String phase, String id) {
+        return new KnownEvents(List.of("east"), List.of("std")).read(Json.parse("""
+                {"offset":41,"batch":[{"offset":41,"topology":{"revision":7,"complete":true,"members":[
+                {"id":"%s","host_port":"10.1.0.9:7001","locality":"east","flavor":"std","cell":2,
+                "phase":"%s","size":4,"up_since_ms":5000}]}}]}""".formatted(id, phase)).asObject());
+    }
+
+    @Test
+    void knownEventsSayTheSameAsFrames() {
+        assertEquals(List.of(new KnownEvents.Event(41, true, List.of(MEMBER))),
+                known("Terminating", "s-00c41f7a"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"Running,s-00c41f7a,phase", "Ready,00c41f7a,id", "Ready,s-x,id"})
+    void knownEventsNameTheKeyAtFault(String phase, String id, String key) {
+        ConfigException e = assertThrows(ConfigException.class, () -> known(phase, id));
+        assertEquals("known.batch.0.topology.members.0." + key, e.getMessage().split(": ")[0]);
+    }
+}
