--- a/src/test/java/junipercourse/TestBench.java
+++ b/src/test/java/junipercourse/TestBench.java
@@ -282,7 +282,8 @@
         /** Sends a CancelRequest with this session's key over a connection of its own. */
         public void cancel() throws IOException {
             try (Socket s = new Socket(front.getAddress(), front.getPort())) {
-                s.getOutputStream().write(ByteBuffer.allocate(16).putInt(16).putInt(80877102).put(key).array());
+                byte[] packet = ByteBuffer.allocate(16).putInt(16).putInt(80877102).put(key).array();
+                s.getOutputStream().write(packet);
                 s.getInputStream().read();
             }
         }
--- a/src/test/java/junipercourse/engine/HttpParserTest.java
+++ b/src/test/java/junipercourse/engine/HttpParserTest.java
@@ -50,7 +50,8 @@
         "HTTP/1.1 200 OK~no colon~", "HTTP/1.1 200 OK~~", "HTTP/1.1 200 OK~Content-Length: -1~~",
         "HTTP/1.1 200 OK~Content-Length: 99999999~~", "HTTP/1.1 200 OK~Content-Length: x~~",
         "HTTP/1.1 200 OK~Content-Length: 1~Content-Length: 2~", "HTTP/1.1 200 OK~Transfer-Encoding: gzip~~",
-        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~zz~", "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1~xyz~"})
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~zz~",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1~xyz~"})
     void garbledBytesAreTold(String text) {
         ByteBuffer in = ByteBuffer.wrap(unescaped(text).getBytes(StandardCharsets.ISO_8859_1));
         assertThrows(HttpParser.GarbledException.class, () -> new HttpParser().read(in));
--- a/src/test/java/junipercourse/roster/BusFramesTest.java
+++ b/src/test/java/junipercourse/roster/BusFramesTest.java
@@ -23,7 +23,8 @@
 class BusFramesTest {
     private static final String EMPTY = "00000009" + "0000000000000029" + "00";
     private static final String CHANGE = "00000024" + "000000000000002a" + "02"
-            + "00c41f7a" + "0a010009" + "1b59" + "01" + "00" + "00" + "0002" + "00000fa0" + "0000000000001388";
+            + "00c41f7a" + "0a010009" + "1b59" + "01" + "00" + "00" + "0002" + "00000fa0"
+            + "0000000000001388";
     private static final Member MEMBER = new Member(
             new Engine(new EngineId(0xc41f7aL), 0, 0, 2, Stage.DRAINING, 4, 5),
             Config.address("x", "10.1.0.9:7001"));
