--- a/src/test/java/junipercourse/pg/QueryReaderTest.java
+++ b/src/test/java/junipercourse/pg/QueryReaderTest.java
@@ -18,7 +18,8 @@
     @Test
     void readsAllFieldsAndLeavesTheStatementAsItIs() throws FieldException {
         Query q = reader.read("/* kind=load,req=" + ID + ",timeout=1500,owner=acme,resent=1,opkey=5c0f,"
-                + "ms=820.0,ram=96,subject=7f3a9c21e0b4d655 */ INSERT INTO sales_17.orders  VALUES ('a, b=c') ;", 100);
+                + "ms=820.0,ram=96,"
+                + "subject=7f3a9c21e0b4d655 */ INSERT INTO sales_17.orders  VALUES ('a, b=c') ;", 100);
         assertEquals(new Query(ID, "load", 1, 0, 101.5, "5c0f", 0x7f3a9c21e0b4d655L, 17, 0.82, 96, true,
                 q.statement()), q);
         assertEquals("INSERT INTO sales_17.orders  VALUES ('a, b=c') ;",
