Bound what clients and engines can make it hold; name every faulty key

Session went on taking queries of a client that reads nothing (unsent answers without bound): it stops at 64 KB unsent and goes on once they are flushed. The known events are read before anything runs. - An exception in the module at a query answers that query at once, and a failed settle is followed by another. - After SIGTERM's window, further queries are refused with 57P03 and never leave one unanswered. Counters are shown by SHOW COUNTERS.

--- a/src/main/java/junipercourse/cli/Main.java
+++ b/src/main/java/junipercourse/cli/Main.java
@@ -23,7 +23,7 @@
     @Parameters(commandNames = "simhost", commandDescription = "hosts instances on the simulator's wire")
     private static final class SimHostCommand { }
 
-    @Parameters(commandNames = "check", commandDescription = "reads and checks the configuration, no more")
+    @Parameters(commandNames = "check", commandDescription = "reads the configuration, starts all parts on it and ends")
     private static final class Check { }
 
     @Parameters(commandNames = "version", commandDescription = "prints the version")
@@ -72,12 +72,21 @@
 
     private static int execute(String command) throws IOException {
         switch (command) {
-            case "serve" -> new Server(Config.read(System.getenv())).start();
+            case "serve" -> {
+                Server server = new Server(Config.read(System.getenv()));
+                server.start();
+                server.finishOnShutdown();
+            }
             case "simhost" -> {
                 return new SimHost(System.err).run(new BufferedInputStream(System.in, 1 << 16), System.out);
             }
-            case "check" -> System.out.println("configuration of " + Config.read(System.getenv()).name()
-                    + " can be used");
+            case "check" -> {
+                Config config = Config.read(System.getenv());
+                Server server = new Server(config);
+                server.start();
+                server.stop();
+                System.out.println("the configuration of " + config.name() + " can be used");
+            }
             case "version" -> System.out.println("junipercourse " + version());
             default -> throw new IllegalStateException(command);
         }
--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -1,7 +1,9 @@
 package junipercourse.cli;
 
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import junipercourse.config.Config;
 import junipercourse.core.Counters;
 import junipercourse.core.Gateway;
@@ -16,52 +18,72 @@
 final class Server {
     /** New connections keep coming for 0.4 s after a planned restart begins, and their queries after that. */
     private static final double STILL_COMING_S = 0.75;
+    private static final double LAST_BYTES_S = 0.05;
+    /** Of the descriptors: clients a third and a few to be told why not, engines half, the rest is spare. */
+    private static final int CLIENT_PART = 3;
+    private static final int ENGINE_PART = 2;
+    private static final int CLIENTS_MORE = 8;
 
     private final Config config;
     private final Loop loop;
     private final Counters counters = new Counters();
     private final Gateway gateway;
     private final PgFront front;
+    private final RosterClient roster;
 
     Server(Config config) throws IOException {
         this.config = config;
         loop = new Loop();
-        EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(), counters);
+        int sockets = config.resources().sockets();
+        EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(),
+                sockets / ENGINE_PART, counters);
         gateway = new Gateway(loop, config.settings(), config.seed(), engines, counters);
-        front = new PgFront(loop, config.settings(), gateway, config.resources().sockets() / 3 + 8,
+        front = new PgFront(loop, config.settings(), gateway, sockets / CLIENT_PART + CLIENTS_MORE,
                 config.seed(), counters);
+        roster = new RosterClient(loop, config.bus(), config.known(), config.zones(),
+                config.settings().kinds().stream().map(Kind::name).toList(), gateway::roster, counters);
     }
 
-    void start() {
-        Runtime.getRuntime().addShutdownHook(new Thread(this::finish, "finish"));
+    /** Returns once clients can connect. */
+    void start() throws IOException {
+        CompletableFuture<Void> started = new CompletableFuture<>();
         loop.execute(() -> {
             try {
-                RosterClient roster = config.bus() == null ? null
-                        : new RosterClient(loop, config.bus(), gateway::roster, counters);
-                if (roster != null) {
-                    if (config.known() != null) {
-                        roster.known(config.known(), config.zones(),
-                                config.settings().kinds().stream().map(Kind::name).toList());
-                    }
-                    roster.follow();
-                }
+                roster.start();
                 front.listen(config.listen());
-                Logger.info("{} listens on {}", config.name(), config.listen());
-            } catch (IOException | RuntimeException e) {
-                Logger.error(e, "cannot start");
-                Runtime.getRuntime().halt(1);
+                started.complete(null);
+            } catch (IOException e) {
+                started.completeExceptionally(new IOException("cannot listen on " + config.listen() + ": "
+                        + e.getMessage()));
+            } catch (RuntimeException e) {
+                started.completeExceptionally(e);
             }
         });
+        try {
+            started.get();
+        } catch (ExecutionException e) {
+            stop();
+            throw new IOException(e.getCause().getMessage(), e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while starting", e);
+        }
+        Logger.info("{} listens on {}", config.name(), front.address());
     }
 
-    /** After SIGTERM: goes on for as long as clients may still come, then until all are answered. */
+    /** From now on SIGTERM ends the program in good order. */
+    void finishOnShutdown() {
+        Runtime.getRuntime().addShutdownHook(new Thread(this::finish, "finish"));
+    }
+
+    /** Goes on for as long as clients may still come, then until all are answered. */
     private void finish() {
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
             Logger.info("asked to end; {} queries are open", gateway.open());
             loop.after(STILL_COMING_S, () -> {
-                front.stopListening();
-                gateway.whenIdle(done::countDown);
+                front.end();
+                gateway.whenIdle(() -> loop.after(LAST_BYTES_S, done::countDown));
             });
         });
         try {
@@ -71,4 +93,8 @@
         }
         Logger.info("{} ends: {}", config.name(), counters);
     }
+
+    void stop() {
+        loop.stop();
+    }
 }
--- a/src/main/java/junipercourse/config/SettingsReader.java
+++ b/src/main/java/junipercourse/config/SettingsReader.java
@@ -42,7 +42,13 @@
 
     /** Reads pairs of path and value. */
     public static Settings read(Map<String, String> pairs) {
-        return new SettingsReader(pairs).settings();
+        try {
+            return new SettingsReader(pairs).settings();
+        } catch (ConfigException e) {
+            throw e;
+        } catch (IllegalArgumentException e) { // what the module itself checks
+            throw new ConfigException("settings", e.getMessage());
+        }
     }
 
     private Settings settings() {
@@ -130,7 +136,7 @@
                 case "fail_rate" -> LoadField.FAIL_RATE;
                 case "x0" -> LoadField.MEMORY_GRANTED;
                 case "x1" -> LoadField.DISKS_BUSY;
-                default -> throw new IllegalArgumentException("settings: telemetry.fields: unknown " + name);
+                default -> throw new ConfigException("settings.telemetry.fields", "unknown " + name);
             });
         }
         return out;
@@ -142,7 +148,7 @@
             out.add((int) parse(key, item));
         }
         if (out.isEmpty() && pairs.containsKey(key)) {
-            throw new IllegalArgumentException("settings: " + key + ": allows nothing");
+            throw new ConfigException("settings." + key, "allows nothing");
         }
         return out;
     }
@@ -162,7 +168,7 @@
             return fallback;
         }
         if (!value.equals("true") && !value.equals("false")) {
-            throw new IllegalArgumentException("settings: " + key + ": not true or false: " + value);
+            throw new ConfigException("settings." + key, "not true or false: " + value);
         }
         return value.equals("true");
     }
@@ -179,7 +185,7 @@
     private double need(String key) {
         String value = pairs.get(key);
         if (value == null) {
-            throw new IllegalArgumentException("settings: " + key + ": missing");
+            throw new ConfigException("settings." + key, "missing");
         }
         return parse(key, value);
     }
@@ -188,20 +194,20 @@
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("settings: " + key + ": not a number: " + value, e);
+            throw new ConfigException("settings." + key, "not a number: " + value);
         }
     }
 
     private <E extends Enum<E>> E choice(String key, Class<E> type, String fallback) {
         String value = pairs.getOrDefault(key, fallback);
         if (value == null) {
-            throw new IllegalArgumentException("settings: " + key + ": missing");
+            throw new ConfigException("settings." + key, "missing");
         }
         for (E constant : type.getEnumConstants()) {
             if (constant.name().equalsIgnoreCase(value)) {
                 return constant;
             }
         }
-        throw new IllegalArgumentException("settings: " + key + ": unknown " + value);
+        throw new ConfigException("settings." + key, "unknown " + value);
     }
 }
--- a/src/main/java/junipercourse/core/Counters.java
+++ b/src/main/java/junipercourse/core/Counters.java
@@ -1,6 +1,7 @@
 package junipercourse.core;
 
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.StringJoiner;
 
@@ -8,12 +9,23 @@
 public final class Counters {
     /** What is counted. */
     public enum Count {
-        CLIENTS_ACCEPTED, CLIENTS_TURNED_AWAY, CLIENT_PROTOCOL_ERRORS, QUERIES_MALFORMED, QUERIES_TAKEN,
-        CANCELS_ASKED, CLIENTS_LEFT, ANSWERS_SERVED, ANSWERS_REFUSED, ANSWERS_FAILED, ANSWERS_AT_LAST_MOMENT,
-        ATTEMPTS_SENT, ATTEMPTS_CANCELLED, ATTEMPTS_MOOT, ENDS_OK, ENDS_ERROR, ENDS_TURNED_AWAY, ENDS_TIMEOUT,
-        ENDS_UNREACHABLE, ENDS_RESET, ENDS_CANCELLED, ENDS_MOOT, ENGINE_CONNECTIONS_OPENED,
-        ENGINE_CONNECTIONS_BROKEN, ENGINE_BYTES_GARBLED, POLLS_ASKED_AGAIN, ROSTER_EVENTS, ROSTER_CONNECTIONS,
-        ROSTER_BYTES_GARBLED, INTERNAL_ERRORS
+        CLIENTS_ACCEPTED, CLIENTS_TURNED_AWAY, CLIENTS_GARBLED, CLIENTS_CANCELLED, CLIENTS_LEFT,
+        QUERIES_TAKEN, QUERIES_MALFORMED, QUERIES_SERVED, QUERIES_REFUSED, QUERIES_FAILED, QUERIES_LAST_MOMENT,
+        ATTEMPTS_SENT, ATTEMPTS_CALLED_OFF, ATTEMPTS_NOT_SENT,
+        ENDS_OK, ENDS_ERROR, ENDS_TURNED_AWAY, ENDS_TIMEOUT, ENDS_UNREACHABLE, ENDS_RESET, ENDS_CANCELLED,
+        ENDS_MOOT,
+        ENGINES_CONNECTED, ENGINES_BROKEN, ENGINES_GARBLED, ENGINES_ASKED_AGAIN,
+        ROSTER_EVENTS, ROSTER_CONNECTED, ROSTER_GARBLED, INTERNAL_ERRORS;
+
+        /** What the count belongs to, such as clients or ends. */
+        public String side() {
+            return name().substring(0, name().indexOf('_')).toLowerCase(Locale.ROOT);
+        }
+
+        /** What is counted there. */
+        public String label() {
+            return name().substring(name().indexOf('_') + 1).toLowerCase(Locale.ROOT);
+        }
     }
 
     private final Map<Count, Long> counts = new EnumMap<>(Count.class);
@@ -30,7 +42,7 @@
     @Override
     public String toString() {
         StringJoiner out = new StringJoiner(" ");
-        counts.forEach((k, v) -> out.add(k.name().toLowerCase(java.util.Locale.ROOT) + "=" + v));
+        counts.forEach((k, v) -> out.add(k.name().toLowerCase(Locale.ROOT) + "=" + v));
         return out.toString();
     }
 }
--- a/src/main/java/junipercourse/core/Gateway.java
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -26,6 +26,7 @@
 public final class Gateway implements DispatchApi.Actions {
     /** The module answers before this; it is the net below it, and still in time for the client. */
     private static final double LAST_MOMENT_S = 0.012;
+    private static final double AFTER_FAULT_S = 0.05;
 
     private final Loop loop;
     private final Settings settings;
@@ -73,15 +74,21 @@
         open++;
         x.lastMoment = loop.at(query.notAfter() - LAST_MOMENT_S, () -> lastMoment(x));
         event(now -> {
-            if (!x.answered) {
-                module.request(now, new Request(new RequestId(x.id), query.queryClass(), query.tenant(),
-                        query.notAfter(), query.orderKey(), query.tableGroup(), query.cost(),
-                        query.memoryMb(), query.clientRetry()));
+            if (!x.answered && !tell(x, now)) {
+                failed(x, "internal error");
             }
         });
         return x.id;
     }
 
+    /** False if the module failed at it: that costs this query, and no other. */
+    private boolean tell(Exchange x, double now) {
+        Query query = x.query;
+        return guarded(at -> module.request(at, new Request(new RequestId(x.id), query.queryClass(),
+                query.tenant(), query.notAfter(), query.orderKey(), query.tableGroup(), query.cost(),
+                query.memoryMb(), query.clientRetry())), now);
+    }
+
     /** The client has left: no answer is owed any more. */
     public void abandon(long id) {
         Exchange x = exchanges.get(id);
@@ -135,16 +142,20 @@
         for (DoubleConsumer e = events.poll(); e != null; e = events.poll()) {
             guarded(e, now);
         }
-        guarded(module::settle, now);
+        if (!guarded(module::settle, now)) { // it may have lost its timer with its turn
+            loop.after(AFTER_FAULT_S, () -> event(later -> { }));
+        }
     }
 
-    /** An exception in the module costs the request at hand: its last moment still answers it. */
-    private void guarded(DoubleConsumer call, double now) {
+    /** An exception in the module costs the event at hand; a query's last moment still answers it. */
+    private boolean guarded(DoubleConsumer call, double now) {
         try {
             call.accept(now);
+            return true;
         } catch (RuntimeException e) {
             counters.add(Count.INTERNAL_ERRORS);
             Logger.error(e, "the decision module failed");
+            return false;
         }
     }
 
@@ -153,7 +164,7 @@
     private void lastMoment(Exchange x) {
         x.lastMoment = null;
         if (!x.answered) {
-            counters.add(Count.ANSWERS_AT_LAST_MOMENT);
+            counters.add(Count.QUERIES_LAST_MOMENT);
             failed(x, "out of time");
             abandonInModule(x);
         }
@@ -174,7 +185,7 @@
     }
 
     private void failed(Exchange x, String why) {
-        counters.add(Count.ANSWERS_FAILED);
+        counters.add(Count.QUERIES_FAILED);
         x.reply.failed(why);
         answered(x);
     }
@@ -192,7 +203,7 @@
         x.attemptTimeout = null;
         counters.add(Count.valueOf("ENDS_" + end.outcome()));
         if (end.outcome() == Outcome.OK && !x.answered) {
-            counters.add(Count.ANSWERS_SERVED);
+            counters.add(Count.QUERIES_SERVED);
             x.reply.served(end.pages());
             answered(x);
         }
@@ -211,7 +222,7 @@
         boolean spent = x != null && settings.limits().tryLimit() > 0
                 && x.attempts >= settings.limits().tryLimit();
         if (x == null || x.answered || x.out != null || spent || now >= x.query.notAfter()) {
-            counters.add(Count.ATTEMPTS_MOOT);
+            counters.add(Count.ATTEMPTS_NOT_SENT);
             int attempt = x == null ? 0 : x.attempts++;
             event(later -> module.attemptEnd(later, new AttemptEnd(id, attempt, engine, Outcome.MOOT, 0,
                     x == null || x.answered, 0, 0, new float[0])));
@@ -228,7 +239,7 @@
     public void cancel(RequestId id, int attempt) {
         Exchange x = exchanges.get(id.value());
         if (x != null && x.out != null && attempt == x.attempts - 1) {
-            counters.add(Count.ATTEMPTS_CANCELLED);
+            counters.add(Count.ATTEMPTS_CALLED_OFF);
             x.out.giveUp(Outcome.CANCELLED);
         }
     }
@@ -237,7 +248,7 @@
     public void refuse(RequestId id, double coolDown) {
         Exchange x = exchanges.get(id.value());
         if (x != null && !x.answered) {
-            counters.add(Count.ANSWERS_REFUSED);
+            counters.add(Count.QUERIES_REFUSED);
             x.reply.refused(coolDown, "no engine can take this query in time");
             answered(x);
         }
--- a/src/main/java/junipercourse/core/Slots.java
+++ b/src/main/java/junipercourse/core/Slots.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A table of numbered slots. A slot's number is used again once it is given back, but with another
@@ -60,6 +61,11 @@
         }
     }
 
+    /** All holders. */
+    public List<T> all() {
+        return items.stream().filter(Objects::nonNull).toList();
+    }
+
     /** How many slots are taken. */
     public int size() {
         return used;
--- a/src/main/java/junipercourse/engine/EngineCall.java
+++ b/src/main/java/junipercourse/engine/EngineCall.java
@@ -18,7 +18,7 @@
         /** No connection came up, and nothing was written. */
         void unreachable(boolean refused);
 
-        /** {@link #mayWrite} said no. */
+        /** {@link #mayWrite} said no, or there was no room for a connection; nothing was written. */
         void takenBack();
     }
 
@@ -41,11 +41,7 @@
         stopDialing = null;
         if (listener == null || !listener.mayWrite()) {
             pool.idle(connection);
-            if (listener != null) {
-                Listener told = listener;
-                listener = null;
-                told.takenBack();
-            }
+            takenBack();
             return;
         }
         on = connection;
@@ -66,6 +62,14 @@
         }
     }
 
+    /** Nothing was written, and nothing is to be. */
+    void takenBack() {
+        Listener told = over();
+        if (told != null) {
+            told.takenBack();
+        }
+    }
+
     void unreachable(boolean refused) {
         Listener told = over();
         if (told != null) {
--- a/src/main/java/junipercourse/engine/EngineClient.java
+++ b/src/main/java/junipercourse/engine/EngineClient.java
@@ -27,9 +27,13 @@
     private final double idleSeconds;
     private final Counters counters;
     private final GaugeReader gauges;
+    private final EnginePool.Budget budget;
     private final Map<EngineId, EnginePool> pools = new HashMap<>();
 
-    public EngineClient(Loop loop, Settings settings, double idleSeconds, Counters counters) {
+    /** {@code mostConnections} bounds what is open to all engines together. */
+    public EngineClient(Loop loop, Settings settings, double idleSeconds, int mostConnections,
+            Counters counters) {
+        this.budget = new EnginePool.Budget(mostConnections);
         this.loop = loop;
         this.dialTimeout = settings.limits().dialTimeout() > 0 ? settings.limits().dialTimeout() : 1;
         this.idleSeconds = idleSeconds * IDLE_PART;
@@ -53,7 +57,8 @@
                 pool = null;
             }
             if (pool == null) {
-                pool = new EnginePool(loop, e.id(), m.address(), dialTimeout, idleSeconds, counters);
+                pool = new EnginePool(loop, e.id(), m.address(), dialTimeout, idleSeconds, budget,
+                        counters);
                 pools.put(e.id(), pool);
             }
             pool.ready(e.stage() == Stage.READY);
--- a/src/main/java/junipercourse/engine/EngineConnection.java
+++ b/src/main/java/junipercourse/engine/EngineConnection.java
@@ -46,7 +46,7 @@
             }
             done.answered(response);
         } catch (HttpParser.GarbledException e) {
-            counters.add(Count.ENGINE_BYTES_GARBLED);
+            counters.add(Count.ENGINES_GARBLED);
             Logger.warn("engine {}: {}; the connection is closed", pool.name(), e.getMessage());
             close();
             disconnected();
@@ -59,7 +59,7 @@
         EngineCall broken = call;
         call = null;
         if (broken != null) {
-            counters.add(Count.ENGINE_CONNECTIONS_BROKEN);
+            counters.add(Count.ENGINES_BROKEN);
             broken.broken();
         }
     }
--- a/src/main/java/junipercourse/engine/EnginePool.java
+++ b/src/main/java/junipercourse/engine/EnginePool.java
@@ -13,7 +13,29 @@
 final class EnginePool {
     private static final int MOST_IDLE = 16;
 
+    /** How many connections to all engines may be open or opening. */
+    static final class Budget {
+        private int left;
+
+        Budget(int connections) {
+            left = connections;
+        }
+
+        boolean take() {
+            if (left == 0) {
+                return false;
+            }
+            left--;
+            return true;
+        }
+
+        void giveBack() {
+            left++;
+        }
+    }
+
     private final Loop loop;
+    private final Budget budget;
     private final EngineId id;
     private final InetSocketAddress address;
     private final double dialTimeout;
@@ -25,8 +47,9 @@
     private boolean ready = true;
 
     EnginePool(Loop loop, EngineId id, InetSocketAddress address, double dialTimeout, double idleSeconds,
-            Counters counters) {
+            Budget budget, Counters counters) {
         this.loop = loop;
+        this.budget = budget;
         this.id = id;
         this.address = address;
         this.dialTimeout = dialTimeout;
@@ -58,13 +81,23 @@
             call.run(reused, this);
             return;
         }
+        if (!budget.take()) {
+            loop.execute(call::takenBack);
+            return;
+        }
         Loop.Dial dial = loop.dial(address, dialTimeout, c -> {
-            counters.add(Count.ENGINE_CONNECTIONS_OPENED);
+            counters.add(Count.ENGINES_CONNECTED);
             EngineConnection connection = new EngineConnection(c, this, counters);
             all.add(connection);
             call.run(connection, this);
-        }, why -> call.unreachable(why == Loop.DialFailure.REFUSED));
-        call.dialing(dial::cancel);
+        }, why -> {
+            budget.giveBack();
+            call.unreachable(why == Loop.DialFailure.REFUSED);
+        });
+        call.dialing(() -> {
+            dial.cancel();
+            budget.giveBack();
+        });
     }
 
     private EngineConnection freshestIdle() {
@@ -92,7 +125,9 @@
 
     /** The one place where a connection leaves the pool. */
     void left(EngineConnection connection) {
-        all.remove(connection);
+        if (all.remove(connection)) {
+            budget.giveBack();
+        }
         idle.remove(connection);
     }
 
@@ -104,8 +139,4 @@
             idle.poll().close();
         }
     }
-
-    boolean isEmpty() {
-        return all.isEmpty();
-    }
 }
--- a/src/main/java/junipercourse/engine/Fetch.java
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -24,6 +24,7 @@
     private static final double ASK_AGAIN_S = 0.1;
     private static final double MARGIN_S = 0.1;
     private static final int MOST_PAGES = 64;
+    private static final int MOST_BYTES = 256 * 1024; // in all pages: a result has 48,000 at most
 
     private final Loop loop;
     private final EnginePool pool;
@@ -36,6 +37,7 @@
     private EngineCall call;
     private Deadlines.Entry timer;
     private int pageCount;
+    private int bytes;
     private boolean posted;
     private double lastAsked;
     private Outcome givenUpAs;
@@ -101,9 +103,10 @@
             return true;
         }
 
+        /** No room for a connection: like one that broke. */
         @Override
         public void takenBack() {
-            throw new IllegalStateException("only a start is taken back");
+            broken();
         }
     }
 
@@ -165,7 +168,7 @@
     }
 
     private void askAgain() {
-        counters.add(Count.POLLS_ASKED_AGAIN);
+        counters.add(Count.ENGINES_ASKED_AGAIN);
         if (Loop.now() > lastAsked + FORGOTTEN_S) {
             end(End.of(Outcome.RESET));
         } else {
@@ -198,12 +201,12 @@
     private void goodEnd(HttpResponse response) {
         goodEnd = response;
         pageCount = number(response.header("x-fetches"));
-        pages.clear();
         if (pageCount < 1 || pageCount > MOST_PAGES) {
-            counters.add(Count.ENGINE_BYTES_GARBLED);
+            counters.add(Count.ENGINES_GARBLED);
             end(plain(Outcome.ERROR, response));
             return;
         }
+        bytes = response.body().length;
         pages.add(response.body());
         nextPage(false);
     }
@@ -244,7 +247,9 @@
 
         @Override
         public void answered(HttpResponse response) {
-            if (response.status() == 200 && number(response.header("x-fetch")) == pages.size()) {
+            boolean wanted = response.status() == 200 && number(response.header("x-fetch")) == pages.size();
+            if (wanted && bytes + response.body().length <= MOST_BYTES) {
+                bytes += response.body().length;
                 pages.add(response.body());
                 nextPage(false);
             } else {
--- a/src/main/java/junipercourse/engine/HttpParser.java
+++ b/src/main/java/junipercourse/engine/HttpParser.java
@@ -11,7 +11,7 @@
 final class HttpParser {
     private static final int MAX_LINE = 8 * 1024;
     private static final int MAX_HEADERS = 64;
-    private static final int MAX_BODY = 256 * 1024;
+    private static final int MAX_BODY = 64 * 1024;
 
     /** Bytes that are no HTTP response. */
     static final class GarbledException extends Exception {
--- a/src/main/java/junipercourse/net/Link.java
+++ b/src/main/java/junipercourse/net/Link.java
@@ -15,7 +15,7 @@
  */
 public final class Link {
     /** One buffer serves all reads: there is one I/O thread, and handlers keep no reference to it. */
-    private static final ByteBuffer READ = ByteBuffer.allocateDirect(64 * 1024);
+    private static final ByteBuffer READ = ByteBuffer.allocateDirect(16 * 1024);
     private static final ByteBuffer WRITE = ByteBuffer.allocateDirect(64 * 1024);
     private static final int MAX_READS_A_TURN = 8; // so that no one peer keeps the thread to itself
 
@@ -27,6 +27,10 @@
         /** The peer has closed, or the connection broke; not called after {@link Link#close}. */
         void disconnected();
 
+        /** All that was written has gone out. */
+        default void flushed() {
+        }
+
         /** An exception in the handler has cost this connection. */
         default void crashed() {
             disconnected();
@@ -48,7 +52,7 @@
         source = connection.getSourceChannel();
         sink = connection.getSinkChannel();
         source.setReadListener(c -> readable());
-        sink.setWriteListener(c -> flush());
+        sink.setWriteListener(c -> writable());
         source.resumeReads();
     }
 
@@ -112,6 +116,13 @@
         return unsentBytes;
     }
 
+    private void writable() {
+        flush();
+        if (unsent.isEmpty() && !closed) {
+            handler.flushed();
+        }
+    }
+
     private void flush() {
         try {
             while (!unsent.isEmpty()) {
--- a/src/main/java/junipercourse/net/Loop.java
+++ b/src/main/java/junipercourse/net/Loop.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Instant;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
@@ -47,7 +48,11 @@
 
     /** Runs a task on the I/O thread, after what has come in by now. */
     public void execute(Runnable task) {
-        thread.execute(() -> guarded(task));
+        try {
+            thread.execute(() -> guarded(task));
+        } catch (RejectedExecutionException e) {
+            Logger.debug("a task came after the loop's end");
+        }
     }
 
     /** Runs a task at a time unless it is taken back before. */
--- a/src/main/java/junipercourse/pg/MessageWriter.java
+++ b/src/main/java/junipercourse/pg/MessageWriter.java
@@ -66,14 +66,16 @@
         return message('E', b.toByteArray());
     }
 
-    /** A whole result: its description, its rows and its end. */
-    MessageWriter result(List<byte[]> pages) {
-        ByteBuffer description = ByteBuffer.allocate(256).putShort((short) COLUMNS);
-        for (int i = 1; i <= COLUMNS; i++) {
-            description.put(text("c" + i)).putInt(0).putShort((short) 0).putInt(TEXT_OID)
-                    .putShort((short) -1).putInt(-1).putShort((short) 0);
+    /** A whole result of three text columns: its description, its rows and its end. */
+    MessageWriter result(List<byte[]> pages, String... names) {
+        ByteArrayOutputStream description = new ByteArrayOutputStream();
+        description.writeBytes(ByteBuffer.allocate(2).putShort((short) COLUMNS).array());
+        for (String name : names) {
+            description.writeBytes(text(name));
+            description.writeBytes(ByteBuffer.allocate(18).putInt(0).putShort((short) 0).putInt(TEXT_OID)
+                    .putShort((short) -1).putInt(-1).putShort((short) 0).array());
         }
-        message('T', Arrays.copyOf(description.array(), description.position()));
+        message('T', description.toByteArray());
         int rows = 0;
         for (byte[] page : pages) {
             int from = 0;
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 import junipercourse.core.Counters.Count;
 import junipercourse.core.Query;
 import junipercourse.core.Reply;
@@ -17,16 +18,22 @@
     private static final int CANCEL = 80877102;
     private static final int SSL = 80877103;
     private static final int GSS = 80877104;
-    private static final int MOST_AHEAD = 64 * 1024; // held of a client that writes on while it waits
+    private static final int MOST_AHEAD = 16 * 1024; // held of a client that writes on while it waits
+    private static final int MOST_UNSENT = 64 * 1024; // of answers that a client does not read
+    private static final double GOODBYE_S = 1.0; // for a client to read why it is closed
+    private static final Pattern SHOW_COUNTERS = Pattern.compile("\\s*show\\s+counters\\s*;?\\s*",
+            Pattern.CASE_INSENSITIVE);
 
     private final PgFront front;
     private final MessageReader in = new MessageReader();
     private final Link link;
     final int secret;
     long slot;
-    double activeAt = Loop.now();
+    private double receivedAt = Loop.now();
+    private double idleSince = receivedAt;
     private boolean started;
     private boolean waiting;
+    private boolean left;
     private long open;
 
     Session(StreamConnection connection, PgFront front, int secret) {
@@ -35,33 +42,46 @@
         this.link = new Link(connection, this);
     }
 
-    /** Whether no query is open and the client may be closed. */
-    boolean idle() {
-        return !waiting;
+    /** Since when no query is open; never, as long as one is. */
+    double idleSince() {
+        return waiting ? Double.POSITIVE_INFINITY : idleSince;
+    }
+
+    /** Whether the start-up is done. */
+    boolean started() {
+        return started;
     }
 
     // ---- what comes in ----
 
     @Override
     public void received(ByteBuffer bytes) {
-        activeAt = Loop.now();
+        receivedAt = Loop.now();
+        idleSince = receivedAt;
         in.add(bytes);
         work();
     }
 
     private void work() {
         try {
-            while (!waiting && !link.isClosed() && step()) {
-                continue;
+            boolean more = true;
+            while (more && !waiting && !left && link.unsentBytes() <= MOST_UNSENT) {
+                more = step();
             }
             int most = waiting ? MOST_AHEAD : MessageReader.MAX_MESSAGE + 5;
             link.reading(in.held() < most);
         } catch (MessageReader.GarbledException e) {
-            front.counters().add(Count.CLIENT_PROTOCOL_ERRORS);
+            front.counters().add(Count.CLIENTS_GARBLED);
             fatal("08P01", e.getMessage());
         }
     }
 
+    /** A client that did not read its answers has caught up. */
+    @Override
+    public void flushed() {
+        work();
+    }
+
     /** Takes one packet or message; false if more bytes are needed. */
     private boolean step() throws MessageReader.GarbledException {
         if (!started) {
@@ -131,7 +151,7 @@
                 }
             }
             default -> {
-                front.counters().add(Count.CLIENT_PROTOCOL_ERRORS);
+                front.counters().add(Count.CLIENTS_GARBLED);
                 fatal("0A000", "only simple queries are taken here, no message of type " + (int) m.type());
             }
         }
@@ -139,7 +159,7 @@
 
     private void query(byte[] body) {
         if (body.length == 0 || body[body.length - 1] != 0) {
-            front.counters().add(Count.CLIENT_PROTOCOL_ERRORS);
+            front.counters().add(Count.CLIENTS_GARBLED);
             fatal("08P01", "a query without its end");
             return;
         }
@@ -148,9 +168,19 @@
             link.write(new MessageWriter().emptyQuery().ready().bytes());
             return;
         }
+        if (SHOW_COUNTERS.matcher(text).matches()) {
+            link.write(new MessageWriter().result(List.of(front.counterRows()), "side", "counter", "count")
+                    .ready().bytes());
+            return;
+        }
+        if (front.ending()) { // what comes this late may not be finished; elsewhere it does no harm
+            link.write(new MessageWriter().error("ERROR", "57P03", "the dispatcher is shutting down").ready()
+                    .bytes());
+            return;
+        }
         Query query;
         try {
-            query = front.reader().read(text, activeAt);
+            query = front.reader().read(text, receivedAt);
         } catch (FieldException e) {
             front.counters().add(Count.QUERIES_MALFORMED);
             link.write(new MessageWriter().error("ERROR", "22023", e.getMessage()).ready().bytes());
@@ -172,7 +202,7 @@
 
     @Override
     public void served(List<byte[]> pages) {
-        answer(new MessageWriter().result(pages));
+        answer(new MessageWriter().result(pages, "c1", "c2", "c3"));
     }
 
     @Override
@@ -188,14 +218,16 @@
 
     private void answer(MessageWriter out) {
         waiting = false;
-        activeAt = Loop.now();
+        idleSince = Loop.now();
         link.write(out.ready().bytes());
         front.loop().execute(this::work); // a next query may have come already
     }
 
-    private void fatal(String code, String why) {
+    /** Says why, closes, and does not wait long for a client that does not read it. */
+    void fatal(String code, String why) {
         link.write(new MessageWriter().error("FATAL", code, why).bytes());
         link.closeAfterFlush();
+        front.loop().after(GOODBYE_S, link::close);
         leave();
     }
 
@@ -212,6 +244,7 @@
     }
 
     private void leave() {
+        left = true;
         if (waiting) {
             waiting = false;
             front.gateway().abandon(open);
--- a/src/main/java/junipercourse/roster/KnownEvents.java
+++ b/src/main/java/junipercourse/roster/KnownEvents.java
@@ -38,6 +38,11 @@
         return out;
     }
 
+    /** The number of the last event. */
+    static long offset(JsonObject known) {
+        return (long) number("known", known, "offset");
+    }
+
     private Event event(String path, JsonObject event) {
         JsonObject topology = object(path + ".topology", event.get("topology"));
         JsonValue list = topology.get("members");
--- a/src/main/java/junipercourse/roster/RosterClient.java
+++ b/src/main/java/junipercourse/roster/RosterClient.java
@@ -34,32 +34,45 @@
     private BusFrames frames;
     private Deadlines.Entry silence;
     private double retry = RETRY_FIRST_S;
+    private List<KnownEvents.Event> known = List.of();
     private long last;
 
-    public RosterClient(Loop loop, InetSocketAddress bus, Listener listener, Counters counters) {
+    /**
+     * Reads the events of the start, so that a fault in them is told before anything runs.
+     *
+     * @param bus the event bus, or null: then the list stays as it is known
+     * @param known the events of the start, or null
+     * @param zones the settings' list, as is {@code kinds}
+     */
+    public RosterClient(Loop loop, InetSocketAddress bus, JsonObject known, List<String> zones,
+            List<String> kinds, Listener listener, Counters counters) {
         this.loop = loop;
         this.bus = bus;
         this.listener = listener;
         this.counters = counters;
+        if (known != null) {
+            this.known = new KnownEvents(zones, kinds).read(known);
+            last = KnownEvents.offset(known);
+        }
     }
 
-    /** Takes in the events of the start; {@code zones} and {@code kinds} are the settings' lists. */
-    public void known(JsonObject known, List<String> zones, List<String> kinds) {
-        RosterKind kind = RosterKind.CACHED;
-        for (KnownEvents.Event e : new KnownEvents(zones, kinds).read(known)) {
-            listener.roster(e.whole() ? kind : RosterKind.DELTA, e.members());
+    /** Tells the events of the start, then connects, and does so again whenever the connection is lost. */
+    public void start() {
+        for (KnownEvents.Event e : known) {
+            listener.roster(e.whole() ? RosterKind.CACHED : RosterKind.DELTA, e.members());
             last = Math.max(last, e.offset());
         }
-        last = Math.max(last, known.getLong("offset", 0));
+        if (bus != null) {
+            dial();
+        }
     }
 
-    /** Connects, and goes on doing so whenever the connection is lost. */
-    public void follow() {
+    private void dial() {
         loop.dial(bus, DIAL_TIMEOUT_S, this::connected, why -> again());
     }
 
     private void connected(StreamConnection connection) {
-        counters.add(Count.ROSTER_CONNECTIONS);
+        counters.add(Count.ROSTER_CONNECTED);
         frames = new BusFrames();
         link = new Link(connection, this);
         link.write(ByteBuffer.allocate(Long.BYTES).putLong(last).array());
@@ -80,7 +93,7 @@
     }
 
     private void again() {
-        loop.after(retry, this::follow);
+        loop.after(retry, this::dial);
         retry = Math.min(RETRY_MOST_S, retry * 2);
     }
 
@@ -94,7 +107,7 @@
                 take(f);
             }
         } catch (BusFrames.GarbledException e) {
-            counters.add(Count.ROSTER_BYTES_GARBLED);
+            counters.add(Count.ROSTER_GARBLED);
             Logger.warn("event bus: {}; connecting again", e.getMessage());
             drop();
         }
--- /dev/null
+++ b/src/test/java/junipercourse/core/SlotsTest.java
@@ -0,0 +1,27 @@
+package junipercourse.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SlotsTest {
+    @Test
+    void anIdOfAnEarlierHolderFindsNothing() {
+        Slots<String> slots = new Slots<>();
+        long a = slots.add("a");
+        long b = slots.add("b");
+        slots.remove(a);
+        slots.remove(a);
+        long c = slots.add("c");
+        assertNotEquals(a, c);
+        assertNull(slots.get(a));
+        assertNull(slots.find((int) a));
+        assertEquals("c", slots.find((int) c));
+        assertEquals("b", slots.get(b));
+        assertEquals(List.of("c", "b"), slots.all());
+        assertEquals(2, slots.size());
+    }
+}
--- a/src/test/java/junipercourse/pg/SessionTest.java
+++ b/src/test/java/junipercourse/pg/SessionTest.java
@@ -58,6 +58,31 @@
         assertEquals(SERVED, client.answer());
     }
 
+    @Test
+    void countersAreShownOnRequest() throws Exception {
+        Client client = bench.client().start();
+        client.ask(query("check", 1, 5000));
+        String shown = client.ask("show counters;");
+        assertTrue(shown.contains("D(queries served 1)") && shown.contains("D(ends ok 1)"), shown);
+    }
+
+    /** A client that asks on and on and does not read is no longer read from; nobody else is harmed. */
+    @Test
+    void aClientThatDoesNotReadIsHeldBack() throws Exception {
+        Client deaf = bench.client().start();
+        deaf.socket.setSoTimeout(5000);
+        TestBench.daemon(() -> {
+            for (int i = 0; i < 200_000; i++) {
+                deaf.write(Client.message("SHOW COUNTERS"));
+            }
+        });
+        TestBench.pause(300);
+        assertEquals(SERVED, bench.client().start().ask(query("check", 1, 5000)));
+        for (int i = 0; i < 1000; i++) { // and once it reads, it gets what it asked for
+            assertTrue(deaf.answer().startsWith("T D(clients accepted "));
+        }
+    }
+
     /** What cannot be taken is answered or closed, reaches no engine and harms nobody else. */
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
