--- a/src/main/java/junipercourse/cli/Main.java
+++ b/src/main/java/junipercourse/cli/Main.java
@@ -23,7 +23,8 @@
     @Parameters(commandNames = "simhost", commandDescription = "hosts instances on the simulator's wire")
     private static final class SimHostCommand { }
 
-    @Parameters(commandNames = "check", commandDescription = "reads the configuration, starts all parts on it and ends")
+    @Parameters(commandNames = "check",
+            commandDescription = "reads the configuration, starts all parts on it and ends")
     private static final class Check { }
 
     @Parameters(commandNames = "version", commandDescription = "prints the version")
--- a/src/main/java/junipercourse/net/Loop.java
+++ b/src/main/java/junipercourse/net/Loop.java
@@ -79,10 +79,15 @@
         }
         if (wakeUp != null) {
             wakeUp.remove();
+            wakeUp = null;
         }
         wakeAt = next;
         long micros = (long) Math.ceil(Math.max(0, next - now()) * 1e6);
-        wakeUp = thread.executeAfter(this::fire, micros, TimeUnit.MICROSECONDS);
+        try {
+            wakeUp = thread.executeAfter(this::fire, micros, TimeUnit.MICROSECONDS);
+        } catch (RejectedExecutionException e) {
+            Logger.debug("a deadline came after the loop's end");
+        }
     }
 
     private void fire() {
--- a/src/test/java/junipercourse/config/ConfigTest.java
+++ b/src/test/java/junipercourse/config/ConfigTest.java
@@ -14,7 +14,8 @@
 class ConfigTest {
     @Test
     void readsWhatTheEnvironmentAndTheFileSay() {
-        Config c = Config.parse(TestBench.CONFIG, Map.of("RELAY_NAME", "n9", "RELAY_LISTEN", "10.0.0.4:7001"));
+        Config c = Config.parse(TestBench.CONFIG,
+                Map.of("RELAY_NAME", "n9", "RELAY_LISTEN", "10.0.0.4:7001"));
         assertEquals("n9", c.name());
         assertEquals("/10.0.0.4:7001", c.listen().toString());
         assertEquals(0x8c1f30d27a5be964L, c.seed());
