End attempts at silent engines once they are forgotten, and let no DELETE overtake its POST

Found by rereading Fetch against the protocol: - giveUp sent its DELETE on another connection at once; within the first milliseconds it could be read before its POST, and the query would run on unasked while its key was taken as free. It now waits until 50 ms after a POST that nothing has been heard of. - The end by silence was counted from 1 s of a lost answer and only after both DELETEs had failed (up to 3.1 s); the engine holds a call for 0.25 s and forgets after 2 s, so 2.35 s after the last asking are enough. A DELETE that stays unanswered no longer keeps its connection. - Statements went through UTF-8 and back, which changes bytes that are not UTF-8; they are passed on byte for byte now. A test with a silent engine holds the first two, a table case the third.

--- a/src/main/java/junipercourse/engine/Fetch.java
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -23,6 +23,10 @@
     private static final double ANSWER_S = 1.0;
     private static final double ASK_AGAIN_S = 0.1;
     private static final double MARGIN_S = 0.1;
+    /** How long the engine may hold a call for news before it answers that there is none. */
+    private static final double HOLD_S = 0.25;
+    /** For a POST on one connection to come in before the DELETE that follows on another. */
+    private static final double OVERTAKE_S = 0.05;
     private static final int MOST_PAGES = 64;
     private static final int MOST_BYTES = 256 * 1024; // in all pages: a result has 48,000 at most
 
@@ -36,9 +40,11 @@
     private final List<byte[]> pages = new ArrayList<>();
     private EngineCall call;
     private Deadlines.Entry timer;
+    private Deadlines.Entry forgotten;
     private int pageCount;
     private int bytes;
     private boolean posted;
+    private boolean heard;
     private double lastAsked;
     private Outcome givenUpAs;
     private HttpResponse goodEnd;
@@ -182,6 +188,7 @@
     }
 
     private void news(HttpResponse response) {
+        heard = true;
         boolean neverRan = "1".equals(response.header("x-unrun"));
         switch (response.status()) {
             case 200 -> goodEnd(response);
@@ -291,7 +298,17 @@
         EngineCall ignored = call;
         ignored.ignore();
         loop.after(ANSWER_S, ignored::drop); // a silent engine's connection is not kept for its answer
-        delete(false);
+        double now = Loop.now();
+        // If nobody answers, the query is surely gone once it has not been asked for long enough.
+        double gone = Math.max(now, lastAsked + HOLD_S + FORGOTTEN_S + MARGIN_S);
+        forgotten = loop.at(gone, () -> end(End.of(givenUpAs)));
+        // Guards against a DELETE that overtakes its POST and leaves the query running.
+        double wait = heard ? 0 : lastAsked + OVERTAKE_S - now;
+        if (wait > 0) {
+            later(wait, () -> delete(false));
+        } else {
+            delete(false);
+        }
     }
 
     private void delete(boolean fresh) {
@@ -318,34 +335,28 @@
 
         @Override
         public void broken() {
-            if (again) {
-                untilForgotten();
-            } else {
+            if (!again) {
                 delete(true);
             }
         }
 
         @Override
         public void unreachable(boolean refused) {
-            if (refused) {
+            if (refused) { // the process has ended, and the query with it
                 end(End.of(givenUpAs));
-            } else {
-                untilForgotten();
             }
         }
     }
 
-    /** Nobody answers: the query is surely gone once it has not been asked for long enough. */
-    private void untilForgotten() {
-        double gone = lastAsked + ANSWER_S + FORGOTTEN_S + MARGIN_S;
-        later(Math.max(0, gone - Loop.now()), () -> end(End.of(givenUpAs)));
-    }
-
     /** The one place where an attempt ends. */
     private void end(End end) {
         if (!over) {
             over = true;
             loop.cancel(timer);
+            loop.cancel(forgotten);
+            if (call != null) {
+                call.drop(); // a call that is still unanswered would hold its connection for good
+            }
             ending.ended(end);
         }
     }
--- a/src/main/java/junipercourse/pg/QueryReader.java
+++ b/src/main/java/junipercourse/pg/QueryReader.java
@@ -1,5 +1,6 @@
 package junipercourse.pg;
 
+import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -11,6 +12,8 @@
 
 /** Reads a query's fields from the comment before its statement. */
 final class QueryReader {
+    /** The statement is passed on unchanged, whatever its encoding: all that is read here is ASCII. */
+    private static final Charset BYTE_FOR_BYTE = StandardCharsets.ISO_8859_1;
     private static final long MOST_TIMEOUT_MS = 24 * 3600 * 1000L;
 
     private final List<QueryClass> classes;
@@ -28,7 +31,8 @@
     }
 
     /** Reads a query whose last byte came at {@code arrived}. */
-    Query read(String text, double arrived) throws FieldException {
+    Query read(byte[] sql, double arrived) throws FieldException {
+        String text = new String(sql, BYTE_FOR_BYTE);
         int open = 0;
         while (open < text.length() && Character.isWhitespace(text.charAt(open))) {
             open++;
@@ -92,7 +96,7 @@
         return new Query(id, kind, at, tenant(fields), arrived + timeout / 1000, dedupe,
                 subject == null ? 0 : hex("subject", subject, 16), TableGroup.of(statement),
                 ms == null ? Double.NaN : number("ms", ms) / 1000, ram == null ? 0 : number("ram", ram),
-                resent.equals("1"), statement.getBytes(StandardCharsets.UTF_8));
+                resent.equals("1"), statement.getBytes(BYTE_FOR_BYTE));
     }
 
     private int tenant(Map<String, String> fields) throws FieldException {
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.regex.Pattern;
 import junipercourse.core.Counters.Count;
@@ -180,7 +181,7 @@
         }
         Query query;
         try {
-            query = front.reader().read(text, receivedAt);
+            query = front.reader().read(Arrays.copyOf(body, body.length - 1), receivedAt);
         } catch (FieldException e) {
             front.counters().add(Count.QUERIES_MALFORMED);
             link.write(new MessageWriter().error("ERROR", "22023", e.getMessage()).ready().bytes());
--- a/src/test/java/junipercourse/core/RulesOnSocketsTest.java
+++ b/src/test/java/junipercourse/core/RulesOnSocketsTest.java
@@ -126,6 +126,25 @@
         assertTrue(second.get() - deleted.get() >= 600_000_000L);
     }
 
+    /** Rule 2: a DELETE on another connection never overtakes its POST; and silence ends an attempt too. */
+    @Test
+    void anAttemptCalledOffAtASilentEngineEndsOnceItIsForgotten() throws Exception {
+        AtomicLong posted = new AtomicLong();
+        AtomicLong deleted = new AtomicLong();
+        StubEngine e = bench.engine(1, call -> {
+            (call.startsWith("POST") ? posted : deleted).compareAndSet(0, System.nanoTime());
+            return TestBench.SILENCE;
+        });
+        Client client = bench.client().start();
+        client.write(Client.message(query("check", 1, 9000)));
+        TestBench.await(() -> e.count("POST") == 1);
+        client.cancel();
+        TestBench.await(() -> e.count("DELETE") == 1);
+        assertTrue(deleted.get() - posted.get() >= 40_000_000L);
+        TestBench.await(() -> bench.counters.get(Counters.Count.ENDS_CANCELLED) == 1);
+        assertTrue(System.nanoTime() - posted.get() >= 2_200_000_000L);
+    }
+
     /** A client that leaves, at whatever moment, frees the engine. */
     @Test
     void aClientThatLeavesFreesTheEngine() throws Exception {
--- a/src/test/java/junipercourse/pg/QueryReaderTest.java
+++ b/src/test/java/junipercourse/pg/QueryReaderTest.java
@@ -15,14 +15,18 @@
     private static final String ID = "9b1f03aa5c7e2d41";
     private final QueryReader reader = new QueryReader(TestBench.settings());
 
+    private Query read(String text) throws FieldException {
+        return reader.read(text.getBytes(StandardCharsets.UTF_8), 100);
+    }
+
     @Test
     void readsAllFieldsAndLeavesTheStatementAsItIs() throws FieldException {
-        Query q = reader.read("/* kind=load,req=" + ID + ",timeout=1500,owner=acme,resent=1,opkey=5c0f,"
+        Query q = read("/* kind=load,req=" + ID + ",timeout=1500,owner=acme,resent=1,opkey=5c0f,"
                 + "ms=820.0,ram=96,"
-                + "subject=7f3a9c21e0b4d655 */ INSERT INTO sales_17.orders  VALUES ('a, b=c') ;", 100);
+                + "subject=7f3a9c21e0b4d655 */ INSERT INTO sales_17.orders  VALUES ('a, b=c\u00e9') ;");
         assertEquals(new Query(ID, "load", 1, 0, 101.5, "5c0f", 0x7f3a9c21e0b4d655L, 17, 0.82, 96, true,
                 q.statement()), q);
-        assertEquals("INSERT INTO sales_17.orders  VALUES ('a, b=c') ;",
+        assertEquals("INSERT INTO sales_17.orders  VALUES ('a, b=c\u00e9') ;",
                 new String(q.statement(), StandardCharsets.UTF_8));
     }
 
@@ -48,7 +52,7 @@
         "statement | /* kind=check,req=9b1f03aa5c7e2d41,timeout=5,owner=acme */",
         "kind | /* kind=check,kind=load,req=9b1f03aa5c7e2d41,timeout=5,owner=acme */ SELECT 1"})
     void namesTheFieldAtFault(String field, String text) {
-        FieldException e = assertThrows(FieldException.class, () -> reader.read(text, 100));
+        FieldException e = assertThrows(FieldException.class, () -> read(text));
         assertTrue(e.getMessage().startsWith(field + ": "), e.getMessage());
     }
 
