--- a/src/test/java/junipercourse/TestBench.java
+++ b/src/test/java/junipercourse/TestBench.java
@@ -120,6 +120,14 @@
         await(() -> done.getCount() == 0);
     }
 
+    /** Begins the end, as after SIGTERM; {@code idle} runs once all that was taken is answered. */
+    public void end(Runnable idle) {
+        loop.execute(() -> {
+            front.end();
+            gateway.whenIdle(idle);
+        });
+    }
+
     public Client client() throws IOException {
         Client c = new Client(front.address());
         parts.add(c);
--- a/src/test/java/junipercourse/core/RulesOnSocketsTest.java
+++ b/src/test/java/junipercourse/core/RulesOnSocketsTest.java
@@ -9,6 +9,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import junipercourse.TestBench;
@@ -145,6 +146,23 @@
         assertTrue(System.nanoTime() - posted.get() >= 2_200_000_000L);
     }
 
+    /** A planned end: what was taken is finished, what comes later is refused and does no harm elsewhere. */
+    @Test
+    void whatWasTakenIsFinishedAfterTheEndHasBegun() throws Exception {
+        StubEngine e = bench.engine(1, call -> call.startsWith("POST") ? slowly(100, RUNNING)
+                : slowly(100, OK));
+        Client taken = bench.client().start();
+        Client late = bench.client().start();
+        taken.write(Client.message(query("check", 1, 9000)));
+        TestBench.await(() -> e.count("POST") == 1);
+        CountDownLatch idle = new CountDownLatch(1);
+        bench.end(idle::countDown);
+        assertEquals("E(57P03 the dispatcher is shutting down)", late.ask(query("check", 2, 9000)));
+        assertEquals(1, idle.getCount());
+        assertEquals(SERVED, taken.answer());
+        TestBench.await(() -> idle.getCount() == 0);
+    }
+
     /** A client that leaves, at whatever moment, frees the engine. */
     @Test
     void aClientThatLeavesFreesTheEngine() throws Exception {
