--- a/src/main/java/junipercourse/net/Loop.java
+++ b/src/main/java/junipercourse/net/Loop.java
@@ -29,6 +29,7 @@
     private final Deadlines deadlines = new Deadlines();
     private XnioIoThread.Key wakeUp;
     private double wakeAt = Double.POSITIVE_INFINITY;
+    private int wakeUps;
 
     public Loop() throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.builder()
@@ -82,15 +83,23 @@
             wakeUp = null;
         }
         wakeAt = next;
-        long micros = (long) Math.ceil(Math.max(0, next - now()) * 1e6);
+        // XNIO cuts a delay to whole milliseconds, and one under a millisecond to none: rounded down, the
+        // rest of each deadline's last millisecond would be spent in a busy loop.
+        long millis = (long) Math.ceil(Math.max(0, next - now()) * 1e3);
         try {
-            wakeUp = thread.executeAfter(this::fire, micros, TimeUnit.MICROSECONDS);
+            wakeUp = thread.executeAfter(this::fire, millis, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
             Logger.debug("a deadline came after the loop's end");
         }
     }
 
+    /** How often deadlines have woken the loop. */
+    int wakeUps() {
+        return wakeUps;
+    }
+
     private void fire() {
+        wakeUps++;
         wakeUp = null;
         wakeAt = Double.POSITIVE_INFINITY;
         for (Runnable due = deadlines.poll(now()); due != null; due = deadlines.poll(now())) {
--- /dev/null
+++ b/src/test/java/junipercourse/net/LoopTest.java
@@ -0,0 +1,48 @@
+package junipercourse.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import junipercourse.TestBench;
+import org.junit.jupiter.api.Test;
+
+class LoopTest {
+    @Test
+    void deadlinesComeInOrderNeverEarlyAndNotWhenTakenBack() throws Exception {
+        Loop loop = new Loop();
+        List<String> got = new CopyOnWriteArrayList<>();
+        double start = Loop.now();
+        loop.execute(() -> {
+            loop.at(start + 0.060, () -> got.add("c " + (Loop.now() >= start + 0.060)));
+            loop.at(start + 0.040, () -> got.add("b " + (Loop.now() >= start + 0.040)));
+            loop.cancel(loop.at(start + 0.050, () -> got.add("taken back")));
+            loop.at(start + 0.020, () -> {
+                got.add("a");
+                throw new IllegalStateException("costs this task and no other");
+            });
+        });
+        TestBench.await(() -> got.size() == 3);
+        loop.stop();
+        assertEquals(List.of("a", "b true", "c true"), got);
+    }
+
+    /** XNIO cuts delays to whole milliseconds; the rest of one must not be spent in a busy loop. */
+    @Test
+    void aDeadlineWakesTheLoopAboutOnce() throws Exception {
+        Loop loop = new Loop();
+        AtomicInteger left = new AtomicInteger(50);
+        Runnable[] next = new Runnable[1];
+        next[0] = () -> {
+            if (left.decrementAndGet() > 0) {
+                loop.after(0.0027, next[0]);
+            }
+        };
+        loop.execute(next[0]);
+        TestBench.await(() -> left.get() == 0);
+        loop.stop();
+        assertTrue(loop.wakeUps() <= 100, "woken " + loop.wakeUps() + " times for 50 deadlines");
+    }
+}
