Check pages for whole rows; count every fault that is caught

Found by rereading: MessageWriter.wellFormed was called by nobody, so a page cut in the middle of a row would have gone out as a whole result. The check stands in Fetch now and makes it an error that the module may try again. Exceptions caught by the loop and the links were logged but not counted.

--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutionException;
 import junipercourse.config.Config;
 import junipercourse.core.Counters;
+import junipercourse.core.Counters.Count;
 import junipercourse.core.Gateway;
 import junipercourse.decision.DispatchApi.Kind;
 import junipercourse.engine.EngineClient;
@@ -33,7 +34,7 @@
 
     Server(Config config) throws IOException {
         this.config = config;
-        loop = new Loop();
+        loop = new Loop(() -> counters.add(Count.INTERNAL_ERRORS));
         int sockets = config.resources().sockets();
         EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(),
                 sockets / ENGINE_PART, counters);
--- a/src/main/java/junipercourse/engine/EngineClient.java
+++ b/src/main/java/junipercourse/engine/EngineClient.java
@@ -1,5 +1,6 @@
 package junipercourse.engine;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -103,7 +104,7 @@
                 return NONE;
             }
             float[] values = new float[fields.size()];
-            java.util.Arrays.fill(values, Float.NaN);
+            Arrays.fill(values, Float.NaN);
             for (String part : text.split(";")) {
                 int colon = part.indexOf(':');
                 LoadField field = colon < 0 ? null : field(part.substring(0, colon).trim());
--- a/src/main/java/junipercourse/engine/EngineConnection.java
+++ b/src/main/java/junipercourse/engine/EngineConnection.java
@@ -53,6 +53,12 @@
         }
     }
 
+    @Override
+    public void crashed() {
+        counters.add(Count.INTERNAL_ERRORS);
+        disconnected();
+    }
+
     @Override
     public void disconnected() {
         pool.left(this);
--- a/src/main/java/junipercourse/engine/Fetch.java
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import junipercourse.core.Backend;
 import junipercourse.core.Backend.End;
@@ -27,6 +28,7 @@
     private static final double HOLD_S = 0.25;
     /** For a POST on one connection to come in before the DELETE that follows on another. */
     private static final double OVERTAKE_S = 0.05;
+    private static final int COLUMNS = 3;
     private static final int MOST_PAGES = 64;
     private static final int MOST_BYTES = 256 * 1024; // in all pages: a result has 48,000 at most
 
@@ -80,7 +82,7 @@
         }
         head.append("Content-Length: ").append(query.statement().length).append("\r\n\r\n");
         byte[] top = head.toString().getBytes(StandardCharsets.ISO_8859_1);
-        byte[] all = java.util.Arrays.copyOf(top, top.length + query.statement().length);
+        byte[] all = Arrays.copyOf(top, top.length + query.statement().length);
         System.arraycopy(query.statement(), 0, all, top.length, query.statement().length);
         return all;
     }
@@ -208,7 +210,7 @@
     private void goodEnd(HttpResponse response) {
         goodEnd = response;
         pageCount = number(response.header("x-fetches"));
-        if (pageCount < 1 || pageCount > MOST_PAGES) {
+        if (pageCount < 1 || pageCount > MOST_PAGES || !wholeRows(response.body())) {
             counters.add(Count.ENGINES_GARBLED);
             end(plain(Outcome.ERROR, response));
             return;
@@ -218,6 +220,21 @@
         nextPage(false);
     }
 
+    /** Whether a page holds whole rows of three columns: no client is to get part of a result as all. */
+    private static boolean wholeRows(byte[] page) {
+        int tabs = 0;
+        for (byte b : page) {
+            tabs += b == '\t' ? 1 : 0;
+            if (b == '\n') {
+                if (tabs != COLUMNS - 1) {
+                    return false;
+                }
+                tabs = 0;
+            }
+        }
+        return page.length == 0 || page[page.length - 1] == '\n';
+    }
+
     private static int number(String text) {
         try {
             return text == null ? 1 : Integer.parseInt(text.trim());
@@ -254,7 +271,8 @@
 
         @Override
         public void answered(HttpResponse response) {
-            boolean wanted = response.status() == 200 && number(response.header("x-fetch")) == pages.size();
+            boolean wanted = response.status() == 200 && number(response.header("x-fetch")) == pages.size()
+                    && wholeRows(response.body());
             if (wanted && bytes + response.body().length <= MOST_BYTES) {
                 bytes += response.body().length;
                 pages.add(response.body());
--- a/src/main/java/junipercourse/net/Link.java
+++ b/src/main/java/junipercourse/net/Link.java
@@ -31,10 +31,8 @@
         default void flushed() {
         }
 
-        /** An exception in the handler has cost this connection. */
-        default void crashed() {
-            disconnected();
-        }
+        /** An exception in the handler has cost this connection, which is closed; it is to be counted. */
+        void crashed();
     }
 
     private final StreamConnection connection;
--- a/src/main/java/junipercourse/net/Loop.java
+++ b/src/main/java/junipercourse/net/Loop.java
@@ -24,6 +24,7 @@
 public final class Loop {
     private static final int BACKLOG = 512;
 
+    private final Runnable onFault;
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final Deadlines deadlines = new Deadlines();
@@ -31,7 +32,9 @@
     private double wakeAt = Double.POSITIVE_INFINITY;
     private int wakeUps;
 
-    public Loop() throws IOException {
+    /** {@code onFault} is told of each task that failed. */
+    public Loop(Runnable onFault) throws IOException {
+        this.onFault = onFault;
         worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
@@ -109,10 +112,11 @@
     }
 
     /** An exception costs the task at hand, never the process. */
-    private static void guarded(Runnable task) {
+    private void guarded(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException e) {
+            onFault.run();
             Logger.error(e, "a task failed");
         }
     }
--- a/src/main/java/junipercourse/pg/MessageWriter.java
+++ b/src/main/java/junipercourse/pg/MessageWriter.java
@@ -103,24 +103,4 @@
         }
         message('D', Arrays.copyOf(body.array(), body.position()));
     }
-
-    /** Whether pages hold whole rows of three columns and nothing else. */
-    static boolean wellFormed(List<byte[]> pages) {
-        for (byte[] page : pages) {
-            int tabs = 0;
-            for (byte b : page) {
-                tabs += b == '\t' ? 1 : 0;
-                if (b == '\n') {
-                    if (tabs != COLUMNS - 1) {
-                        return false;
-                    }
-                    tabs = 0;
-                }
-            }
-            if (page.length > 0 && page[page.length - 1] != '\n') {
-                return false;
-            }
-        }
-        return true;
-    }
 }
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -234,6 +234,12 @@
 
     // ---- the end ----
 
+    @Override
+    public void crashed() {
+        front.counters().add(Count.INTERNAL_ERRORS);
+        disconnected();
+    }
+
     @Override
     public void disconnected() {
         leave();
--- a/src/main/java/junipercourse/roster/RosterClient.java
+++ b/src/main/java/junipercourse/roster/RosterClient.java
@@ -121,6 +121,12 @@
         }
     }
 
+    @Override
+    public void crashed() {
+        counters.add(Count.INTERNAL_ERRORS);
+        disconnected();
+    }
+
     @Override
     public void disconnected() {
         loop.cancel(silence);
--- a/src/test/java/junipercourse/TestBench.java
+++ b/src/test/java/junipercourse/TestBench.java
@@ -65,7 +65,7 @@
 
     public TestBench() throws IOException {
         Config config = Config.parse(CONFIG, Map.of());
-        loop = new Loop();
+        loop = new Loop(() -> counters.add(Counters.Count.INTERNAL_ERRORS));
         EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(), 512,
                 counters);
         gateway = new Gateway(loop, config.settings(), 7, engines, counters);
--- a/src/test/java/junipercourse/core/RulesOnSocketsTest.java
+++ b/src/test/java/junipercourse/core/RulesOnSocketsTest.java
@@ -180,14 +180,16 @@
         TestBench.await(() -> e.count("DELETE /fetch/0000000000000001") == 1);
     }
 
-    /** All pages are there before the first row goes out; a lost page is an error and tried again. */
-    @Test
-    void aLostPageStartsTheQueryAgainBeforeAnyRowIsOut() throws Exception {
+    /** All pages are there before the first row goes out; a lost or cut one is an error and tried again. */
+    @ParameterizedTest
+    @ValueSource(strings = {FAILED, "HTTP/1.1 200 OK\r\nX-Fetch: 2\r\nContent-Length: 5\r\n\r\nd\t\te\t",
+        "HTTP/1.1 200 OK\r\nX-Fetch: 1\r\nContent-Length: 5\r\n\r\nd\t\te\n"})
+    void aLostPageStartsTheQueryAgainBeforeAnyRowIsOut(String lostPage) throws Exception {
         AtomicInteger lost = new AtomicInteger();
         String head = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n";
         StubEngine e = bench.engine(1, call -> call.startsWith("POST")
                 ? head + "X-Fetches: 3\r\n\r\na\tb\tc\n" : call.endsWith("/2") && lost.incrementAndGet() == 1
-                ? FAILED : head + "X-Fetch: " + call.charAt(call.length() - 1) + "\r\n\r\nd\t\tef\n");
+                ? lostPage : head + "X-Fetch: " + call.charAt(call.length() - 1) + "\r\n\r\nd\t\tef\n");
         assertEquals("T D(a b c) D(d  ef) D(d  ef) C(SELECT 3)",
                 bench.client().start().ask(query("check", 1, 5000)));
         assertEquals(2, e.count("POST"));
--- a/src/test/java/junipercourse/net/LoopTest.java
+++ b/src/test/java/junipercourse/net/LoopTest.java
@@ -12,7 +12,8 @@
 class LoopTest {
     @Test
     void deadlinesComeInOrderNeverEarlyAndNotWhenTakenBack() throws Exception {
-        Loop loop = new Loop();
+        AtomicInteger faults = new AtomicInteger();
+        Loop loop = new Loop(faults::incrementAndGet);
         List<String> got = new CopyOnWriteArrayList<>();
         double start = Loop.now();
         loop.execute(() -> {
@@ -27,12 +28,13 @@
         TestBench.await(() -> got.size() == 3);
         loop.stop();
         assertEquals(List.of("a", "b true", "c true"), got);
+        assertEquals(1, faults.get());
     }
 
     /** XNIO cuts delays to whole milliseconds; the rest of one must not be spent in a busy loop. */
     @Test
     void aDeadlineWakesTheLoopAboutOnce() throws Exception {
-        Loop loop = new Loop();
+        Loop loop = new Loop(() -> { });
         AtomicInteger left = new AtomicInteger(50);
         Runnable[] next = new Runnable[1];
         next[0] = () -> {
