Test the budget of connections to engines on sockets

With room for one connection, the second of two queries is turned away unsent, waits, and is served on the same connection; no second one is opened. Rules out that the budget leaks or loses a query.

--- a/src/test/java/junipercourse/TestBench.java
+++ b/src/test/java/junipercourse/TestBench.java
@@ -64,10 +64,15 @@
     private final PgFront front;
 
     public TestBench() throws IOException {
+        this(512);
+    }
+
+    /** A dispatcher that may hold so many connections to engines. */
+    public TestBench(int engineConnections) throws IOException {
         Config config = Config.parse(CONFIG, Map.of());
         loop = new Loop(() -> counters.add(Counters.Count.INTERNAL_ERRORS));
-        EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(), 512,
-                counters);
+        EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(),
+                engineConnections, counters);
         gateway = new Gateway(loop, config.settings(), 7, engines, counters);
         front = new PgFront(loop, config.settings(), gateway, 100, 7, counters);
         front.listen(config.listen());
--- a/src/test/java/junipercourse/core/RulesOnSocketsTest.java
+++ b/src/test/java/junipercourse/core/RulesOnSocketsTest.java
@@ -152,6 +152,22 @@
         assertTrue(System.nanoTime() - posted.get() >= 2_200_000_000L);
     }
 
+    /** The budget of connections: a query without one waits, and gets it once another is done. */
+    @Test
+    void connectionsToEnginesStayWithinTheirBudget() throws Exception {
+        try (TestBench narrow = new TestBench(1)) {
+            narrow.engine(1, call -> slowly(200, OK));
+            Client first = narrow.client().start();
+            Client second = narrow.client().start();
+            first.write(Client.message(query("check", 1, 9000)));
+            second.write(Client.message(query("check", 2, 9000)));
+            assertEquals(SERVED, first.answer());
+            assertEquals(SERVED, second.answer());
+            assertEquals(1, narrow.counters.get(Counters.Count.ENGINES_CONNECTED));
+            assertTrue(narrow.counters.get(Counters.Count.ENDS_TURNED_AWAY) >= 1);
+        }
+    }
+
     /** A planned end: what was taken is finished, what comes later is refused and does no harm elsewhere. */
     @Test
     void whatWasTakenIsFinishedAfterTheEndHasBegun() throws Exception {
