Take on a new configuration at SIGHUP instead of ending

Cause: no handler, so the JVM's default ended the process (Main.execute, 'serve'); RosterClient kept the address of the bus for good. Ruled out: a crash in the loop (the log ends without an exception, exit code 129 = 128 + SIGHUP).

Now the signal reads and checks the file on its own thread and hands it over to the loop; a bad file is named and changes nothing; a new bus is connected to at once from the last event and the old one is left. Events under known that are new are told. Keys that only a start can take on are named in the log.

--- a/src/main/java/junipercourse/cli/Main.java
+++ b/src/main/java/junipercourse/cli/Main.java
@@ -75,6 +75,7 @@
         switch (command) {
             case "serve" -> {
                 Server server = new Server(Config.read(System.getenv()));
+                server.reloadOnHangUp(System.getenv());
                 server.start();
                 server.finishOnShutdown();
             }
--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -1,10 +1,13 @@
 package junipercourse.cli;
 
 import java.io.IOException;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import junipercourse.config.Config;
+import junipercourse.config.ConfigException;
 import junipercourse.core.Counters;
 import junipercourse.core.Counters.Count;
 import junipercourse.core.Gateway;
@@ -12,6 +15,7 @@
 import junipercourse.engine.EngineClient;
 import junipercourse.net.Loop;
 import junipercourse.pg.PgFront;
+import junipercourse.roster.KnownEvents;
 import junipercourse.roster.RosterClient;
 import org.tinylog.Logger;
 
@@ -25,7 +29,7 @@
     private static final int ENGINE_PART = 2;
     private static final int CLIENTS_MORE = 8;
 
-    private final Config config;
+    private Config config; // replaced on the loop's thread only
     private final Loop loop;
     private final Counters counters = new Counters();
     private final Gateway gateway;
@@ -72,6 +76,35 @@
         Logger.info("{} listens on {}", config.name(), front.address());
     }
 
+    /** From now on SIGHUP, which would end a JVM, takes on the configuration file as it is by then. */
+    void reloadOnHangUp(Map<String, String> environment) {
+        Signals.on("HUP", () -> reload(environment));
+    }
+
+    /**
+     * Reads and checks the whole file on the signal's thread, so that nothing waits for the disk, and hands
+     * it to the loop. A file that cannot be used changes nothing; queries in flight notice nothing of either.
+     */
+    private synchronized void reload(Map<String, String> environment) {
+        try {
+            Config next = Config.read(environment);
+            List<KnownEvents.Event> known = roster.check(next.known());
+            loop.execute(() -> apply(next, known));
+        } catch (ConfigException e) {
+            Logger.error("the configuration stays as it was; the new one has a fault: {}", e.getMessage());
+            loop.execute(() -> counters.add(Count.CONFIG_REJECTED));
+        }
+    }
+
+    private void apply(Config next, List<KnownEvents.Event> known) {
+        counters.add(Count.CONFIG_RELOADED);
+        next.fixedChanges(config).forEach(
+                key -> Logger.warn("{} has changed; that takes effect at the next start", key));
+        config = next;
+        roster.follow(next.bus(), known);
+        Logger.info("the configuration has been read again; the event bus is at {}", next.bus());
+    }
+
     /** From now on SIGTERM ends the program in good order. */
     void finishOnShutdown() {
         Runtime.getRuntime().addShutdownHook(new Thread(this::finish, "finish"));
--- a/src/main/java/junipercourse/config/Config.java
+++ b/src/main/java/junipercourse/config/Config.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -80,6 +81,25 @@
                 settings.section("limits").number("conn_idle_s", DEFAULT_IDLE_S, 0.1));
     }
 
+    /** The keys, among those that a running dispatcher cannot take on, in which another one differs. */
+    public List<String> fixedChanges(Config before) {
+        List<String> changed = new ArrayList<>();
+        if (!name.equals(before.name)) {
+            changed.add("name");
+        }
+        if (!listen.equals(before.listen)) {
+            changed.add("listen");
+        }
+        if (!resources.equals(before.resources)) {
+            changed.add("limits");
+        }
+        if (!settings.equals(before.settings) || !zones.equals(before.zones)
+                || idleSeconds != before.idleSeconds) {
+            changed.add("settings");
+        }
+        return changed;
+    }
+
     private static long seed(Section root) {
         String text = root.text("seed", null);
         if (text == null) {
--- a/src/main/java/junipercourse/roster/KnownEvents.java
+++ b/src/main/java/junipercourse/roster/KnownEvents.java
@@ -13,9 +13,9 @@
 import junipercourse.decision.DispatchApi.Stage;
 
 /** Reads the events that the configuration holds under {@code known}. */
-final class KnownEvents {
+public final class KnownEvents {
     /** One event. */
-    record Event(long offset, boolean whole, List<Member> members) { }
+    public record Event(long offset, boolean whole, List<Member> members) { }
 
     private final List<String> zones;
     private final List<String> kinds;
--- a/src/main/java/junipercourse/roster/RosterClient.java
+++ b/src/main/java/junipercourse/roster/RosterClient.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Objects;
 import junipercourse.core.Backend.Member;
 import junipercourse.core.Counters;
 import junipercourse.core.Counters.Count;
@@ -27,12 +28,15 @@
     }
 
     private final Loop loop;
-    private final InetSocketAddress bus;
+    private final KnownEvents reader;
+    private InetSocketAddress bus;
     private final Listener listener;
     private final Counters counters;
+    private Loop.Dial dial;
     private Link link;
     private BusFrames frames;
     private Deadlines.Entry silence;
+    private Deadlines.Entry redial;
     private double retry = RETRY_FIRST_S;
     private List<KnownEvents.Event> known = List.of();
     private long last;
@@ -50,8 +54,9 @@
         this.bus = bus;
         this.listener = listener;
         this.counters = counters;
+        this.reader = new KnownEvents(zones, kinds);
         if (known != null) {
-            this.known = new KnownEvents(zones, kinds).read(known);
+            this.known = reader.read(known);
             last = KnownEvents.offset(known);
         }
     }
@@ -59,19 +64,61 @@
     /** Tells the events of the start, then connects, and does so again whenever the connection is lost. */
     public void start() {
         for (KnownEvents.Event e : known) {
-            listener.roster(e.whole() ? RosterKind.CACHED : RosterKind.DELTA, e.members());
-            last = Math.max(last, e.offset());
+            tell(e, RosterKind.CACHED);
         }
+        known = List.of();
         if (bus != null) {
             dial();
         }
     }
 
+    private void tell(KnownEvents.Event e, RosterKind whole) {
+        last = Math.max(last, e.offset());
+        listener.roster(e.whole() ? whole : RosterKind.DELTA, e.members());
+    }
+
+    /** Reads and checks the events that a new configuration holds; null holds none. For any thread. */
+    public List<KnownEvents.Event> check(JsonObject newlyKnown) {
+        return newlyKnown == null ? List.of() : reader.read(newlyKnown);
+    }
+
+    /**
+     * Takes on a new configuration: tells those of its events that are new here, and if the event bus has
+     * another address, connects there at once, from the last event, and leaves the old one.
+     */
+    public void follow(InetSocketAddress newBus, List<KnownEvents.Event> newlyKnown) {
+        newlyKnown.stream().filter(e -> e.offset() > last).forEach(e -> tell(e, RosterKind.FULL));
+        if (Objects.equals(newBus, bus)) {
+            return;
+        }
+        bus = newBus;
+        leave();
+        retry = RETRY_FIRST_S;
+        if (bus != null) {
+            dial();
+        }
+    }
+
+    /** The one place where the connection, or the wait for one, is given up. */
+    private void leave() {
+        loop.cancel(silence);
+        loop.cancel(redial);
+        if (dial != null) {
+            dial.cancel();
+            dial = null;
+        }
+        if (link != null) {
+            link.close();
+            link = null;
+        }
+    }
+
     private void dial() {
-        loop.dial(bus, DIAL_TIMEOUT_S, this::connected, why -> again());
+        dial = loop.dial(bus, DIAL_TIMEOUT_S, this::connected, why -> again());
     }
 
     private void connected(StreamConnection connection) {
+        dial = null;
         counters.add(Count.ROSTER_CONNECTED);
         frames = new BusFrames();
         link = new Link(connection, this);
@@ -83,17 +130,14 @@
         loop.cancel(silence);
         silence = loop.after(SILENCE_S, () -> {
             Logger.warn("the event bus is silent; connecting again");
-            drop();
+            again();
         });
     }
 
-    private void drop() {
-        link.close();
-        disconnected();
-    }
-
+    /** Connects anew, after a pause that grows while no connection brings anything. */
     private void again() {
-        loop.after(retry, this::dial);
+        leave();
+        redial = loop.after(retry, this::dial);
         retry = Math.min(RETRY_MOST_S, retry * 2);
     }
 
@@ -109,7 +153,7 @@
         } catch (BusFrames.GarbledException e) {
             counters.add(Count.ROSTER_GARBLED);
             Logger.warn("event bus: {}; connecting again", e.getMessage());
-            drop();
+            again();
         }
     }
 
@@ -129,7 +173,6 @@
 
     @Override
     public void disconnected() {
-        loop.cancel(silence);
         again();
     }
 }
