Keep a refused DELETE from ending an attempt; let held connections make room

Now a refusal proves the end only once no connection to that engine is left; until then DELETE and poll are tried again.

Also: sessions that never ask are closed after 2.4 s, half messages after 2 s, idle ones after 8 s or, while half the table is taken, 0.5 s; a client that does not read after 3 s. A full table closes held connections first. Idle connections to engines make room for those to others, and a part of the budget is kept for polls and DELETEs.

--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -24,10 +24,10 @@
     /** New connections keep coming for 0.4 s after a planned restart begins, and their queries after that. */
     private static final double STILL_COMING_S = 0.75;
     private static final double LAST_BYTES_S = 0.05;
-    /** Of the descriptors: clients a third and a few to be told why not, engines half, the rest is spare. */
-    private static final int CLIENT_PART = 3;
-    private static final int ENGINE_PART = 2;
-    private static final int CLIENTS_MORE = 8;
+    /** Descriptors of the JVM itself, the bus and connections on their way out: about 16 were counted. */
+    private static final int OWN_SOCKETS = 28;
+    /** Of the others: engines less than clients, of which some only hold their connection. */
+    private static final double ENGINE_PART = 0.45;
 
     private Config config; // replaced on the loop's thread only
     private final Loop loop;
@@ -39,12 +39,12 @@
     Server(Config config) throws IOException {
         this.config = config;
         loop = new Loop(() -> counters.add(Count.INTERNAL_ERRORS));
-        int sockets = config.resources().sockets();
+        int sockets = config.resources().sockets() - OWN_SOCKETS;
+        int toEngines = (int) (sockets * ENGINE_PART);
         EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(),
-                sockets / ENGINE_PART, counters);
+                toEngines, counters);
         gateway = new Gateway(loop, config.settings(), config.seed(), engines, counters);
-        front = new PgFront(loop, config.settings(), gateway, sockets / CLIENT_PART + CLIENTS_MORE,
-                config.seed(), counters);
+        front = new PgFront(loop, config.settings(), gateway, sockets - toEngines, config.seed(), counters);
         roster = new RosterClient(loop, config.bus(), config.known(), config.zones(),
                 config.settings().kinds().stream().map(Kind::name).toList(), gateway::roster, counters);
     }
--- a/src/main/java/junipercourse/engine/EnginePool.java
+++ b/src/main/java/junipercourse/engine/EnginePool.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import junipercourse.core.Counters;
 import junipercourse.core.Counters.Count;
@@ -13,16 +14,25 @@
 final class EnginePool {
     private static final int MOST_IDLE = 16;
 
-    /** How many connections to all engines may be open or opening. */
+    /** How many connections to all engines may be open or opening; idle ones make room for others. */
     static final class Budget {
+        /** Of the connections, for polls, pages and DELETEs: no new query may keep those from going out. */
+        private static final int FOLLOW_UP_PART = 12;
+        private final Set<EngineConnection> idle = new LinkedHashSet<>();
+        private final int followUps;
         private int left;
 
         Budget(int connections) {
             left = connections;
+            followUps = connections / FOLLOW_UP_PART;
         }
 
-        boolean take() {
-            if (left == 0) {
+        boolean take(boolean starts) {
+            int spare = starts ? followUps : 0;
+            if (left <= spare && !idle.isEmpty()) {
+                idle.iterator().next().close(); // the one that has been idle for longest, of whatever engine
+            }
+            if (left <= spare) {
                 return false;
             }
             left--;
@@ -74,14 +84,22 @@
         ready = takesWork;
     }
 
+    /**
+     * Whether the engine's process may be there although it refused a connection. It refuses those past its
+     * own limit, too; but when it ends, all its connections break, so that none is left here.
+     */
+    boolean mayLive() {
+        return listed && !all.isEmpty();
+    }
+
     /** Runs a call on an idle connection or, if there is none or a fresh one is wanted, on a new one. */
-    void call(EngineCall call, boolean fresh) {
+    void call(EngineCall call, boolean fresh, boolean starts) {
         EngineConnection reused = fresh ? null : freshestIdle();
         if (reused != null) {
             call.run(reused, this);
             return;
         }
-        if (!budget.take()) {
+        if (!budget.take(starts)) {
             loop.execute(call::takenBack);
             return;
         }
@@ -102,14 +120,16 @@
 
     private EngineConnection freshestIdle() {
         expire();
-        return idle.pollLast();
+        EngineConnection freshest = idle.pollLast();
+        budget.idle.remove(freshest);
+        return freshest;
     }
 
     /** Closes what has been idle for so long that the engine may be about to close it itself. */
     void expire() {
         double oldest = Loop.now() - idleSeconds;
         while (!idle.isEmpty() && idle.peek().idleSince < oldest) {
-            idle.poll().close();
+            idle.peek().close();
         }
     }
 
@@ -121,6 +141,7 @@
         }
         connection.idleSince = Loop.now();
         idle.add(connection);
+        budget.idle.add(connection);
     }
 
     /** The one place where a connection leaves the pool. */
@@ -128,7 +149,9 @@
         if (all.remove(connection)) {
             budget.giveBack();
         }
-        idle.remove(connection);
+        if (budget.idle.remove(connection)) {
+            idle.remove(connection);
+        }
     }
 
     /** The engine has gone: idle connections are closed, others as soon as their call is over. */
@@ -136,7 +159,7 @@
         listed = false;
         ready = false;
         while (!idle.isEmpty()) {
-            idle.poll().close();
+            idle.peek().close();
         }
     }
 }
--- a/src/main/java/junipercourse/engine/Fetch.java
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -100,7 +100,7 @@
             mine.drop();
             listener.broken();
         });
-        pool.call(call, fresh);
+        pool.call(call, fresh, listener instanceof Start);
     }
 
     /** What all calls have in common. */
@@ -167,7 +167,7 @@
 
         @Override
         public void unreachable(boolean refused) {
-            if (refused) { // the process has ended, and the query with it
+            if (refused && !pool.mayLive()) { // the process has ended, and the query with it
                 end(End.of(Outcome.RESET));
             } else {
                 askAgain();
@@ -330,16 +330,10 @@
     }
 
     private void delete(boolean fresh) {
-        run(bare("DELETE", ""), new Delete(fresh), fresh);
+        run(bare("DELETE", ""), new Delete(), fresh);
     }
 
     private final class Delete extends Step {
-        private final boolean again;
-
-        Delete(boolean again) {
-            this.again = again;
-        }
-
         /** Asking the engine to forget a query does not keep it alive. */
         @Override
         public boolean mayWrite() {
@@ -351,17 +345,19 @@
             end(End.of(givenUpAs));
         }
 
+        /** Tried until it is answered or the query is forgotten: until then it may run. */
         @Override
         public void broken() {
-            if (!again) {
-                delete(true);
-            }
+            later(ASK_AGAIN_S, () -> delete(true));
         }
 
+        /** Guards against a second attempt beside one at an engine that merely takes no more connections. */
         @Override
         public void unreachable(boolean refused) {
-            if (refused) { // the process has ended, and the query with it
+            if (refused && !pool.mayLive()) { // the process has ended, and the query with it
                 end(End.of(givenUpAs));
+            } else {
+                later(ASK_AGAIN_S, () -> delete(false));
             }
         }
     }
--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.SplittableRandom;
+import java.util.function.ToDoubleFunction;
 import junipercourse.core.Counters;
 import junipercourse.core.Counters.Count;
 import junipercourse.core.Gateway;
@@ -16,8 +18,11 @@
 
 /** The front for clients that speak the PostgreSQL wire protocol. */
 public final class PgFront {
-    private static final double STARTUP_S = 10; // for a client to say who it is
-    private static final double IDLE_S = 2; // a client that has asked nothing for so long may make room
+    private static final double LOOK_S = 0.25; // between looks for clients that have had their time
+    private static final double FRESH_S = 0.25; // a client that means to ask does so well within this
+    private static final double IDLE_MOST_S = 8.0; // clients close what is idle for half as long
+    private static final double IDLE_CROWDED_S = 0.5; // while clients have opened about all that they may
+    private static final double CROSSING_S = 0.06; // a query that crosses a close within 50 ms comes again
 
     private final Loop loop;
     private final Gateway gateway;
@@ -41,6 +46,19 @@
 
     public void listen(InetSocketAddress address) throws IOException {
         server = loop.listen(address, this::accepted);
+        loop.after(LOOK_S, this::lookAround);
+    }
+
+    /** One look at all sessions in place of a deadline for each, which would keep those that have left. */
+    private void lookAround() {
+        double now = Loop.now();
+        for (Session s : sessions.all()) {
+            // Guards clients, which open no more than a third of the descriptors, against running out of
+            // connections because some hold theirs for good: what is idle gives way in time.
+            boolean crowded = sessions.size() > mostClients / 2;
+            s.expire(now, crowded ? IDLE_CROWDED_S : IDLE_MOST_S);
+        }
+        loop.after(LOOK_S, this::lookAround);
     }
 
     /** The address it listens on. */
@@ -60,24 +78,27 @@
         }
         counters.add(Count.CLIENTS_ACCEPTED);
         session.slot = sessions.add(session);
-        loop.after(STARTUP_S, () -> {
-            if (!session.started()) { // whoever connects and says nothing holds no slot
-                session.close();
-            }
-        });
     }
 
-    /** Closes the client that has been idle for longest, as a server may. */
+    /**
+     * Guards the clients that ask against those that only hold connections: closes the one that has been
+     * there for longest without ever asking, or else the one that has been idle for longest.
+     */
     private void makeRoom() {
-        Session longest = null;
-        for (Session s : sessions.all()) {
-            longest = longest == null || s.idleSince() < longest.idleSince() ? s : longest;
-        }
-        if (longest != null && longest.idleSince() < Loop.now() - IDLE_S) {
-            longest.fatal("57P05", "closed after being idle, to make room");
+        double now = Loop.now();
+        Session silent = longest(Session::silentSince);
+        Session idle = longest(Session::idleSince);
+        if (silent != null && silent.silentSince() < now - FRESH_S) {
+            silent.fatal("57P05", "closed without a query, to make room");
+        } else if (idle != null && idle.idleSince() < now - CROSSING_S) {
+            idle.fatal("57P05", "closed after being idle, to make room");
         }
     }
 
+    private Session longest(ToDoubleFunction<Session> since) {
+        return sessions.all().stream().min(Comparator.comparingDouble(since)).orElse(null);
+    }
+
     /** From now on queries are refused: what is taken is still finished. */
     public void end() {
         ending = true;
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -22,6 +22,9 @@
     private static final int MOST_AHEAD = 16 * 1024; // held of a client that writes on while it waits
     private static final int MOST_UNSENT = 64 * 1024; // of answers that a client does not read
     private static final double GOODBYE_S = 1.0; // for a client to read why it is closed
+    private static final double FIRST_QUERY_S = 2.4; // from connecting until the first query is whole
+    private static final double MESSAGE_S = 2.0; // from a later message's first byte to its last
+    private static final double READING_S = 3.0; // for a client to take some of what is sent to it
     private static final Pattern SHOW_COUNTERS = Pattern.compile("\\s*show\\s+counters\\s*;?\\s*",
             Pattern.CASE_INSENSITIVE);
 
@@ -30,9 +33,14 @@
     private final Link link;
     final int secret;
     long slot;
-    private double receivedAt = Loop.now();
-    private double idleSince = receivedAt;
+    private final double connectedAt = Loop.now();
+    private double receivedAt = connectedAt;
+    private double idleSince = connectedAt;
+    private double partSince = Double.POSITIVE_INFINITY;
+    private double tookAt = connectedAt;
+    private long unsentBefore;
     private boolean started;
+    private boolean asked;
     private boolean waiting;
     private boolean left;
     private long open;
@@ -43,14 +51,31 @@
         this.link = new Link(connection, this);
     }
 
-    /** Since when no query is open; never, as long as one is. */
+    /** Since when no query is open, for one that has asked before; never, as long as one is. */
     double idleSince() {
-        return waiting ? Double.POSITIVE_INFINITY : idleSince;
+        return waiting || !asked ? Double.POSITIVE_INFINITY : idleSince;
     }
 
-    /** Whether the start-up is done. */
-    boolean started() {
-        return started;
+    /** Since when it is connected without having asked anything; never, once it has. */
+    double silentSince() {
+        return asked ? Double.POSITIVE_INFINITY : connectedAt;
+    }
+
+    /** Closes a session whose client has had its time: to ask, to end what it began, or to read. */
+    void expire(double now, double mostIdle) {
+        if (link.unsentBytes() == 0 || link.unsentBytes() != unsentBefore) {
+            tookAt = now;
+            unsentBefore = link.unsentBytes();
+        }
+        if (now > tookAt + READING_S) {
+            close(); // it would not read the reason either
+        } else if (now > silentSince() + FIRST_QUERY_S) {
+            fatal("57014", "no query came in time");
+        } else if (!waiting && now > partSince + MESSAGE_S) {
+            fatal("08P01", "a message without its end");
+        } else if (now > idleSince() + mostIdle) {
+            fatal("57P05", "closed after being idle");
+        }
     }
 
     // ---- what comes in ----
@@ -69,6 +94,8 @@
             while (more && !waiting && !left && link.unsentBytes() <= MOST_UNSENT) {
                 more = step();
             }
+            partSince = in.held() == 0 || waiting ? Double.POSITIVE_INFINITY
+                    : Math.min(partSince, Loop.now());
             int most = waiting ? MOST_AHEAD : MessageReader.MAX_MESSAGE + 5;
             link.reading(in.held() < most);
         } catch (MessageReader.GarbledException e) {
@@ -159,6 +186,8 @@
     }
 
     private void query(byte[] body) {
+        asked = true;
+        partSince = Double.POSITIVE_INFINITY;
         if (body.length == 0 || body[body.length - 1] != 0) {
             front.counters().add(Count.CLIENTS_GARBLED);
             fatal("08P01", "a query without its end");
@@ -228,7 +257,9 @@
     void fatal(String code, String why) {
         link.write(new MessageWriter().error("FATAL", code, why).bytes());
         link.closeAfterFlush();
-        front.loop().after(GOODBYE_S, link::close);
+        if (!link.isClosed()) {
+            front.loop().after(GOODBYE_S, link::close);
+        }
         leave();
     }
 
--- a/src/test/java/junipercourse/TestBench.java
+++ b/src/test/java/junipercourse/TestBench.java
@@ -55,6 +55,7 @@
     /** Scripts' words for an engine that breaks the connection, and for one that says nothing. */
     public static final String BREAK = "break";
     public static final String SILENCE = "silence";
+    public static final int MOST_CLIENTS = 100;
     private static final long PATIENCE_MS = 5000;
 
     public final Counters counters = new Counters();
@@ -74,7 +75,7 @@
         EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(),
                 engineConnections, counters);
         gateway = new Gateway(loop, config.settings(), 7, engines, counters);
-        front = new PgFront(loop, config.settings(), gateway, 100, 7, counters);
+        front = new PgFront(loop, config.settings(), gateway, MOST_CLIENTS, 7, counters);
         front.listen(config.listen());
     }
 
@@ -173,6 +174,11 @@
             return calls.stream().filter(c -> c.startsWith(start)).count();
         }
 
+        /** Refuses new connections and goes on serving the open ones. */
+        public void acceptNoMore() throws IOException {
+            server.close();
+        }
+
         private void serve(Socket s) throws IOException {
             InputStream in = s.getInputStream();
             for (String first = line(in); !first.isEmpty(); first = line(in)) {
--- a/src/test/java/junipercourse/core/RulesOnSocketsTest.java
+++ b/src/test/java/junipercourse/core/RulesOnSocketsTest.java
@@ -152,6 +152,34 @@
         assertTrue(System.nanoTime() - posted.get() >= 2_200_000_000L);
     }
 
+    /** Rule 2: an engine that takes no more connections may still run what it has; only a DELETE ends it. */
+    @Test
+    void aRefusedDeleteDoesNotEndItsQueryWhileTheEngineLives() throws Exception {
+        AtomicLong deleted = new AtomicLong();
+        AtomicLong second = new AtomicLong();
+        StubEngine e = bench.engine(1, call -> {
+            if (call.startsWith("DELETE")) {
+                deleted.set(System.nanoTime());
+                return GIVEN_UP;
+            }
+            if (call.contains("0000000000000002")) {
+                second.compareAndSet(0, System.nanoTime());
+                return OK;
+            }
+            return slowly(400, RUNNING);
+        });
+        Client first = bench.client().start();
+        first.write(Client.message(query("load", 1, 9000)));
+        TestBench.await(() -> e.count("POST") == 1);
+        Client next = bench.client().start();
+        next.write(Client.message(query("load", 2, 9000)));
+        TestBench.await(() -> e.count("GET") == 1);
+        e.acceptNoMore(); // the one open connection is held by a poll
+        first.cancel();
+        TestBench.await(() -> deleted.get() > 0);
+        assertEquals(0, second.get(), "the second of the key ran beside the first");
+    }
+
     /** The budget of connections: a query without one waits, and gets it once another is done. */
     @Test
     void connectionsToEnginesStayWithinTheirBudget() throws Exception {
@@ -168,6 +196,19 @@
         }
     }
 
+    /** What is idle at one engine does not keep a query from another. */
+    @Test
+    void anIdleConnectionMakesRoomForOneToAnotherEngine() throws Exception {
+        try (TestBench narrow = new TestBench(1)) {
+            StubEngine first = narrow.engine(1, call -> OK);
+            Client client = narrow.client().start();
+            assertEquals(SERVED, client.ask(query("check", 1, 9000)));
+            narrow.list(1, first, Stage.DRAINING);
+            narrow.engine(2, call -> OK);
+            assertEquals(SERVED, client.ask(query("check", 2, 9000)));
+        }
+    }
+
     /** A planned end: what was taken is finished, what comes later is refused and does no harm elsewhere. */
     @Test
     void whatWasTakenIsFinishedAfterTheEndHasBegun() throws Exception {
--- a/src/test/java/junipercourse/pg/SessionTest.java
+++ b/src/test/java/junipercourse/pg/SessionTest.java
@@ -8,11 +8,13 @@
 import junipercourse.TestBench;
 import junipercourse.TestBench.Client;
 import junipercourse.TestBench.StubEngine;
+import junipercourse.core.Counters;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class SessionTest {
     private static final String SERVED = "T D(a b c) C(SELECT 1)";
@@ -105,4 +107,53 @@
         assertTrue(engine.calls.isEmpty());
         assertEquals(SERVED, bench.client().start().ask(query("check", 1, 5000)));
     }
+
+    /** Whoever connects and never asks, or begins a message and never ends it, is closed within 3 s. */
+    @ParameterizedTest
+    @CsvSource({"'', closed=true", "0000, closed=true", "start, E(57014 no query came in time) closed=true",
+        "start 5100000010, E(08P01 a message without its end) closed=true",
+        "asked 5100000010, E(08P01 a message without its end) closed=true"})
+    void whatDoesNotComeInTimeIsClosed(String sent, String expected) throws Exception {
+        Client client = bench.client();
+        if (!sent.isEmpty() && sent.charAt(0) != '0') {
+            client.start();
+        }
+        if (sent.startsWith("asked")) {
+            assertEquals(SERVED, client.ask(query("check", 1, 5000)));
+        }
+        client.write(java.util.HexFormat.of().parseHex(sent.replaceAll("[a-z]* ?(?=[0-9]|$)", "")));
+        long from = System.nanoTime();
+        assertTrue(client.answer().endsWith(expected));
+        assertTrue(System.nanoTime() - from < 2_900_000_000L);
+    }
+
+    /** Clients that hold their connections, whether they ever asked or not, leave room for those that ask. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void connectionsThatAreOnlyHeldMakeRoom(boolean asked) throws Exception {
+        for (int i = 0; i < TestBench.MOST_CLIENTS; i++) {
+            Client holder = bench.client();
+            if (asked) {
+                assertEquals(SERVED, holder.start().ask(query("check", i, 5000)));
+            }
+        }
+        TestBench.pause(300);
+        for (int i = 1; i <= 5; i++) {
+            assertEquals(SERVED, bench.client().start().ask(query("check", 1000 + i, 5000)));
+        }
+        assertEquals(0, bench.counters.get(Counters.Count.CLIENTS_TURNED_AWAY));
+    }
+
+    /** Clients may not open more than so many: what is idle is closed early once they come near that. */
+    @Test
+    void idleConnectionsAreClosedEarlyWhileManyAreOpen() throws Exception {
+        Client first = bench.client().start();
+        assertEquals(SERVED, first.ask(query("check", 1, 5000)));
+        for (int i = 0; i < TestBench.MOST_CLIENTS / 2; i++) {
+            bench.client().start();
+        }
+        long from = System.nanoTime();
+        assertEquals("E(57P05 closed after being idle) closed=true", first.answer());
+        assertTrue(System.nanoTime() - from < 1_000_000_000L);
+    }
 }
