Ask again for spoilt answers, refuse open ids and odd figures, blame bad queries, not engines

Seen (rude+garble+fleet, counters and log): 400 spoilt answers; a whole good one with a second copy behind it counted as a broken call (EngineConnection.received: hasRemaining), and a copy that came late could pass for the answer to the next call on that connection; spoilt pages ended the attempt. Errors that bad clients' queries bring ejected engines as 'failing' (Dispatcher.learn: two errors of any query). A second query under an open id reached the engines.

Now: what follows an answer costs the connection only, a connection is checked and rests 2 ms before its next call, spoilt news and pages are asked for again, 1xx heads are bounded. An error counts against an engine only until the query fails elsewhere, too; three errors end a query. An id that is open or out is refused; figures out of range are named.

--- a/src/main/java/junipercourse/core/Gateway.java
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -1,7 +1,10 @@
 package junipercourse.core;
 
 import java.util.ArrayDeque;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 import java.util.function.DoubleConsumer;
 import junipercourse.core.Backend.End;
 import junipercourse.core.Backend.Member;
@@ -34,6 +37,7 @@
     private final Counters counters;
     private final Dispatcher module;
     private final Slots<Exchange> exchanges = new Slots<>();
+    private final Set<String> openIds = new HashSet<>();
     private final ArrayDeque<DoubleConsumer> events = new ArrayDeque<>();
     private boolean turnDue;
     private int open;
@@ -66,8 +70,15 @@
 
     // ---- what the fronts and the roster tell ----
 
-    /** Takes a query; its reply is called once, later. The id is good for {@link #abandon}. */
+    /**
+     * Takes a query; its reply is called once, later. The id is good for {@link #abandon}. It is 0 for one
+     * that is not taken: engines know queries by the client's id, and one is open or still out under this.
+     */
     public long take(Query query, Reply reply) {
+        if (!openIds.add(openId(query))) {
+            counters.add(Count.QUERIES_DOUBLED);
+            return 0;
+        }
         counters.add(Count.QUERIES_TAKEN);
         Exchange x = new Exchange(query, reply);
         x.id = exchanges.add(x);
@@ -190,9 +201,14 @@
         answered(x);
     }
 
-    /** The one place where a query's slot is given back. */
+    private static String openId(Query query) {
+        return query.id().toLowerCase(Locale.ROOT);
+    }
+
+    /** The one place where a query's slot and its id are given back. */
     private void release(Exchange x) {
-        if (x.answered && x.out == null) {
+        if (x.answered && x.out == null && exchanges.get(x.id) == x) {
+            openIds.remove(openId(x.query));
             exchanges.remove(x.id);
         }
     }
--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -56,6 +56,7 @@
     private static final double SILENT_TIMES = 4; // expected latencies without a sign: it hangs
     private static final double SILENT_S = 1.5; // and at least this long
     private static final int FAULTS = 2; // errors without an answer between: one is chance
+    private static final int QUERY_ERRORS = 3; // of one query at engines that serve others: it is at fault
     private static final double TRIAL_S = 1.0; // first pause of an ejected engine before a trial
     private static final double TRIAL_MAX_S = 8.0; // longest such pause: a return is worth noticing
     private static final double EJECT_PART = 0.34; // of engines out at most; if more seem bad, all are slow
@@ -670,7 +671,7 @@
         boolean time = now + expected(job) * 0.5 < job.r.notAfter() - ANSWER_LEAD_S;
         boolean allowed = rule7Budget(now, job) && nodes.values().stream()
                 .anyMatch(n -> rule3Listed(n) && rule6Allowed(job, n) && rule2Effect(now, job, n));
-        if (time && outcome != Outcome.MOOT && allowed) {
+        if (time && outcome != Outcome.MOOT && allowed && job.errors < QUERY_ERRORS) {
             hold(now, job);
         } else {
             finish(now, job);
@@ -751,11 +752,29 @@
         }
         if (end.outcome() == Outcome.UNREACHABLE) { startCold(n, now); }
         if (end.outcome() == Outcome.UNREACHABLE || end.outcome() == Outcome.RESET) { eject(now, n, "dead"); }
-        n.faults = ok ? 0 : n.faults + (end.outcome() == Outcome.ERROR ? 1 : 0);
-        if (n.faults >= FAULTS && !ok) { eject(now, n, "failing"); } // errors come fast: it would look idle
+        if (ok) { n.faults = 0; }
+        if (end.outcome() == Outcome.ERROR) { blame(now, a.job, n); }
         if (end.outcome() == Outcome.TURNED_AWAY) { heard(now, n, BOUND * n.cores); }
     }
 
+    /**
+     * An error counts against its engine until the same query fails at another one, too: then the query is
+     * at fault, and no engine is to be left out for what some clients send.
+     */
+    private void blame(double now, Job job, Node n) {
+        job.errors++;
+        if (job.guilty) { return; }
+        job.guilty = job.blamed != null && job.blamed != n;
+        if (!job.guilty) {
+            job.blamed = n;
+            n.faults++;
+            if (n.faults >= FAULTS) { eject(now, n, "failing"); } // errors come fast: it would look idle
+        } else if (job.blamed.faults > 0) {
+            job.blamed.faults--;
+            if (job.blamed.faults < FAULTS && job.blamed.failing) { readmit(job.blamed, "cleared"); }
+        }
+    }
+
     private static void sign(double now, Node n) {
         n.lastSign = now;
         n.silent.clear();
@@ -897,6 +916,7 @@
         if (!n.ejected && ejectedNow + 1 <= Math.max(1, (front.size() + back.size()) * EJECT_PART)) {
             actions.log("ejected engine " + n.id.value() + ": " + why);
             n.ejected = true;
+            n.failing = why.equals("failing");
             ejectedNow++;
         }
     }
@@ -904,6 +924,7 @@
     private void readmit(Node n, String why) {
         if (n.ejected) {
             n.ejected = false;
+            n.failing = false;
             n.silentFrom = Double.NEGATIVE_INFINITY;
             ejectedNow--;
             actions.log(why + " engine " + n.id.value());
--- a/src/main/java/junipercourse/decision/State.java
+++ b/src/main/java/junipercourse/decision/State.java
@@ -22,7 +22,7 @@
         final Map<Float, Integer> loads = new HashMap<>();
         final Set<Attempt> silent = new LinkedHashSet<>();
         Engine entry;
-        boolean back, ejected, probing;
+        boolean back, ejected, failing, probing;
         int out, faults;
         double cores, memoryMb, threads, mb, others, slow, lastSign, trialAt, coldCredit, coldAt;
         double peerThreads, peerMb, trialGap;
@@ -64,9 +64,9 @@
         final long seq;
         final boolean over;
         Attempt run, firstRan;
-        int tries;
-        boolean restart, closed, streaming;
-        Node avoid;
+        int tries, errors;
+        boolean restart, closed, streaming, guilty;
+        Node avoid, blamed;
         double rank, lookAt = Double.POSITIVE_INFINITY, waitUntil;
 
         Job(Request r, ClassView view, double takenAt, long seq, boolean over,
--- a/src/main/java/junipercourse/engine/EngineConnection.java
+++ b/src/main/java/junipercourse/engine/EngineConnection.java
@@ -22,6 +22,11 @@
         this.link = new Link(connection, this);
     }
 
+    /** Guards the next call against what still came after the last answer: it would be taken for its own. */
+    boolean quiet() {
+        return link.quiet();
+    }
+
     void write(EngineCall next, byte[] request) {
         call = next;
         link.write(request);
@@ -34,12 +39,15 @@
             if (response == null && call != null) {
                 return;
             }
-            if (response == null || call == null || bytes.hasRemaining()) {
+            if (response == null || call == null) {
                 throw new HttpParser.GarbledException("an answer to nothing");
             }
             EngineCall done = call;
             call = null;
-            if (response.keepAlive()) {
+            if (bytes.hasRemaining()) { // a whole answer counts, but what follows it belongs to no call
+                counters.add(Count.ENGINES_GARBLED);
+                close();
+            } else if (response.keepAlive()) {
                 pool.idle(this);
             } else {
                 close();
--- a/src/main/java/junipercourse/engine/EnginePool.java
+++ b/src/main/java/junipercourse/engine/EnginePool.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import junipercourse.core.Counters;
@@ -13,6 +14,8 @@
 /** The connections to one engine. A later engine at the same address has a pool of its own. */
 final class EnginePool {
     private static final int MOST_IDLE = 16;
+    /** Before a connection is used again: by then what an engine sends beyond its answer has come. */
+    static final double REST_S = 0.002;
 
     /** How many connections to all engines may be open or opening; idle ones make room for others. */
     static final class Budget {
@@ -153,9 +156,20 @@
 
     private EngineConnection freshestIdle() {
         expire();
-        EngineConnection freshest = idle.pollLast();
-        budget.idle.remove(freshest);
-        return freshest;
+        double rested = Loop.now() - REST_S;
+        for (Iterator<EngineConnection> i = idle.descendingIterator(); i.hasNext();) {
+            EngineConnection c = i.next();
+            if (c.idleSince <= rested) {
+                i.remove();
+                budget.idle.remove(c);
+                if (c.quiet()) {
+                    return c;
+                }
+                counters.add(Count.ENGINES_GARBLED);
+                c.close();
+            }
+        }
+        return null;
     }
 
     /** Closes what has been idle for so long that the engine may be about to close it itself. */
--- a/src/main/java/junipercourse/engine/Fetch.java
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -23,6 +23,10 @@
     /** The engine answers each call within a quarter of a second; one this late is lost. */
     private static final double ANSWER_S = 0.6;
     private static final double ASK_AGAIN_S = 0.1;
+    private static final double ASK_AGAIN_FIRST_S = 0.01;
+    /** Calls in a row that bring nothing readable, before and after the engine has said anything of it. */
+    private static final int BREAKS_UNHEARD = 4;
+    private static final int BREAKS = 12;
     private static final double MARGIN_S = 0.4; // for what a slow engine reads late
     /** How long the engine may hold a call for news before it answers that there is none. */
     private static final double HOLD_S = 0.25;
@@ -47,6 +51,7 @@
     private int bytes;
     private boolean posted;
     private boolean heard;
+    private int breaks;
     private double lastAsked;
     private Outcome givenUpAs;
     private HttpResponse goodEnd;
@@ -175,15 +180,26 @@
         }
     }
 
+    /**
+     * The news did not come, or spoilt; after a good end the engine gives it again. One that only ever closes
+     * cannot read this query, or has nothing to tell: it is given up, since it may have run.
+     */
     private void askAgain() {
         counters.add(Count.ENGINES_ASKED_AGAIN);
+        breaks++;
         if (Loop.now() > lastAsked + FORGOTTEN_S) {
             end(End.of(Outcome.RESET));
+        } else if (breaks >= (heard ? BREAKS : BREAKS_UNHEARD)) {
+            giveUp(Outcome.ERROR);
         } else {
-            later(ASK_AGAIN_S, () -> run(bare("GET", "/0"), new Poll(), true));
+            later(breaks == 1 ? ASK_AGAIN_FIRST_S : ASK_AGAIN_S, this::poll);
         }
     }
 
+    private void poll() {
+        run(bare("GET", "/0"), new Poll(), breaks > 0);
+    }
+
     private void later(double delay, Runnable task) {
         loop.cancel(timer);
         timer = loop.after(delay, task);
@@ -191,10 +207,11 @@
 
     private void news(HttpResponse response) {
         heard = true;
+        breaks = 0;
         boolean neverRan = "1".equals(response.header("x-unrun"));
         switch (response.status()) {
             case 200 -> goodEnd(response);
-            case 202 -> run(bare("GET", "/0"), new Poll(), false);
+            case 202 -> later(EnginePool.REST_S, this::poll);
             case 503 -> end(plain(neverRan ? Outcome.TURNED_AWAY : Outcome.ERROR, response));
             case 504 -> end(plain(neverRan ? Outcome.MOOT : Outcome.ERROR, response));
             default -> end(plain(Outcome.ERROR, response));
@@ -212,12 +229,12 @@
         pageCount = number(response.header("x-fetches"));
         if (pageCount < 1 || pageCount > MOST_PAGES || !wholeRows(response.body())) {
             counters.add(Count.ENGINES_GARBLED);
-            end(plain(Outcome.ERROR, response));
+            askAgain();
             return;
         }
         bytes = response.body().length;
         pages.add(response.body());
-        nextPage(false);
+        nextPage();
     }
 
     /** Whether a page holds whole rows of three columns: no client is to get part of a result as all. */
@@ -252,48 +269,54 @@
         }
     }
 
-    private void nextPage(boolean fresh) {
+    private void nextPage() {
         if (pages.size() == pageCount) {
             end(new End(Outcome.OK, gauges.read(goodEnd.header("x-gauges")),
                     decimal(goodEnd.header("x-effort")) / 1000, decimal(goodEnd.header("x-footprint")),
                     List.copyOf(pages)));
         } else {
-            run(bare("GET", "/" + pages.size()), new Page(fresh), fresh);
+            later(breaks > 1 ? ASK_AGAIN_S : EnginePool.REST_S,
+                    () -> run(bare("GET", "/" + pages.size()), new Page(), breaks > 0));
         }
     }
 
     private final class Page extends Step {
-        private final boolean again;
-
-        Page(boolean again) {
-            this.again = again;
-        }
-
         @Override
         public void answered(HttpResponse response) {
-            boolean wanted = response.status() == 200 && number(response.header("x-fetch")) == pages.size()
-                    && wholeRows(response.body());
-            if (wanted && bytes + response.body().length <= MOST_BYTES) {
+            if (response.status() != 200) { // pages end with their engine
+                end(plain(Outcome.ERROR, goodEnd));
+                return;
+            }
+            boolean wanted = number(response.header("x-fetch")) == pages.size()
+                    && wholeRows(response.body()) && bytes + response.body().length <= MOST_BYTES;
+            if (wanted) {
+                breaks = 0;
                 bytes += response.body().length;
                 pages.add(response.body());
-                nextPage(false);
-            } else {
-                end(plain(Outcome.ERROR, goodEnd));
+                nextPage();
+            } else { // spoilt, or another page's: the engine still has this one
+                counters.add(Count.ENGINES_GARBLED);
+                broken();
             }
         }
 
         @Override
         public void broken() {
-            if (again) { // pages end with their engine
+            breaks++;
+            if (breaks >= BREAKS_UNHEARD) {
                 end(plain(Outcome.ERROR, goodEnd));
             } else {
-                nextPage(true);
+                nextPage();
             }
         }
 
         @Override
         public void unreachable(boolean refused) {
-            broken();
+            if (refused && !pool.mayLive()) {
+                end(plain(Outcome.ERROR, goodEnd));
+            } else {
+                broken();
+            }
         }
     }
 
@@ -325,7 +348,7 @@
         if (wait > 0) {
             later(wait, () -> delete(false));
         } else {
-            delete(false);
+            delete(breaks > 0);
         }
     }
 
--- a/src/main/java/junipercourse/engine/HttpParser.java
+++ b/src/main/java/junipercourse/engine/HttpParser.java
@@ -9,8 +9,9 @@
 
 /** Reads HTTP/1.1 responses from bytes that come in any pieces. Anything else is garbled. */
 final class HttpParser {
-    private static final int MAX_LINE = 8 * 1024;
-    private static final int MAX_HEADERS = 64;
+    private static final int MAX_LINE = 4 * 1024;
+    private static final int MAX_HEADERS = 32;
+    private static final int MAX_INTERIM = 16; // 1xx heads before one answer: they may not go on for good
     private static final int MAX_BODY = 64 * 1024;
 
     /** Bytes that are no HTTP response. */
@@ -31,6 +32,7 @@
     private boolean oldVersion;
     private int status;
     private int left;
+    private int interim;
 
     /** True between responses: nothing of a next one has come. */
     boolean atStart() {
@@ -136,6 +138,10 @@
         String coding = headers.get("transfer-encoding");
         String length = headers.get("content-length");
         if (status < 200) { // an interim response: the real one follows
+            interim++;
+            if (interim > MAX_INTERIM) {
+                throw new GarbledException("interim responses without end");
+            }
             headers = new HashMap<>();
             state = State.STATUS;
             return null;
@@ -177,6 +183,7 @@
                 !connection.equalsIgnoreCase("close"));
         headers = new HashMap<>();
         body.reset();
+        interim = 0;
         state = State.STATUS;
         return r;
     }
--- a/src/main/java/junipercourse/net/Link.java
+++ b/src/main/java/junipercourse/net/Link.java
@@ -87,6 +87,16 @@
         }
     }
 
+    /** Whether it is open and nothing has come that was not read; what has come is lost. */
+    public boolean quiet() {
+        try {
+            READ.clear();
+            return !closed && source.read(READ) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Reading stops while a peer sends more than can be taken. */
     public void reading(boolean on) {
         if (closed) {
--- a/src/main/java/junipercourse/pg/QueryReader.java
+++ b/src/main/java/junipercourse/pg/QueryReader.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import junipercourse.core.Query;
 import junipercourse.decision.DispatchApi.Effect;
+import junipercourse.decision.DispatchApi.Kind;
 import junipercourse.decision.DispatchApi.QueryClass;
 import junipercourse.decision.DispatchApi.Settings;
 
@@ -14,14 +15,19 @@
 final class QueryReader {
     /** The statement is passed on unchanged, whatever its encoding: all that is read here is ASCII. */
     private static final Charset BYTE_FOR_BYTE = StandardCharsets.ISO_8859_1;
-    private static final long MOST_TIMEOUT_MS = 24 * 3600 * 1000L;
+    private static final double ROUNDING = 1.02; // clients round their times
+    private static final double MOST_WORK = 100; // deadlines of work in a query: beyond, it is no estimate
+    private static final double MOST_MEMORY = 16; // engines' memory, likewise
 
     private final List<QueryClass> classes;
     private final Map<String, Integer> classAt = new HashMap<>();
     private final Map<String, Integer> tenantAt = new HashMap<>();
+    private final double mostMemory;
 
     QueryReader(Settings settings) {
         classes = settings.classes();
+        double largest = settings.kinds().stream().mapToDouble(Kind::memoryMb).max().orElse(0);
+        mostMemory = largest > 0 ? largest * MOST_MEMORY : Double.POSITIVE_INFINITY;
         for (int i = 0; i < classes.size(); i++) {
             classAt.put(classes.get(i).name(), i);
         }
@@ -76,9 +82,8 @@
         String id = need(fields, "req");
         hex("req", id, 16);
         double timeout = number("timeout", need(fields, "timeout"));
-        if (timeout < 1 || timeout > MOST_TIMEOUT_MS) {
-            throw new FieldException("timeout", "out of range: " + quoted(fields.get("timeout")));
-        }
+        // Figures that cannot be meant are told rather than taken: they would mislead the module's means.
+        inRange("timeout", timeout, 1, c.deadline() * 1000 * ROUNDING, fields);
         String dedupe = c.effect() == Effect.BY_KEY ? need(fields, "opkey") : fields.get("opkey");
         if (dedupe != null && !dedupe.matches("[0-9A-Za-z_.-]{1,128}")) {
             throw new FieldException("opkey", "not a key: " + quoted(dedupe));
@@ -90,13 +95,23 @@
         if (!resent.equals("0") && !resent.equals("1")) {
             throw new FieldException("resent", "neither 0 nor 1: " + quoted(resent));
         }
+        double work = ms == null ? Double.NaN : number("ms", ms);
+        double memory = ram == null ? 0 : number("ram", ram);
+        inRange("ms", work, 0, c.deadline() * 1000 * MOST_WORK, fields);
+        inRange("ram", memory, 0, mostMemory, fields);
         if (statement.isBlank()) {
             throw new FieldException("statement", "missing");
         }
         return new Query(id, kind, at, tenant(fields), arrived + timeout / 1000, dedupe,
                 subject == null ? 0 : hex("subject", subject, 16), TableGroup.of(statement),
-                ms == null ? Double.NaN : number("ms", ms) / 1000, ram == null ? 0 : number("ram", ram),
-                resent.equals("1"), statement.getBytes(BYTE_FOR_BYTE));
+                work / 1000, memory, resent.equals("1"), statement.getBytes(BYTE_FOR_BYTE));
+    }
+
+    private static void inRange(String name, double value, double least, double most,
+            Map<String, String> fields) throws FieldException {
+        if (value < least || value > most) {
+            throw new FieldException(name, "out of range: " + quoted(fields.get(name)));
+        }
     }
 
     private int tenant(Map<String, String> fields) throws FieldException {
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -216,8 +216,12 @@
             link.write(new MessageWriter().error("ERROR", "22023", e.getMessage()).ready().bytes());
             return;
         }
-        waiting = true;
         open = front.gateway().take(query, this);
+        waiting = open != 0;
+        if (!waiting) {
+            link.write(new MessageWriter().error("ERROR", "55006", "req: a query of this id is open").ready()
+                    .bytes());
+        }
     }
 
     /** The client no longer wants its answer; it is told so, as a server would. */
--- a/src/test/java/junipercourse/decision/DispatcherTest.java
+++ b/src/test/java/junipercourse/decision/DispatcherTest.java
@@ -244,6 +244,19 @@
         assertEquals(List.of("log ejected engine " + engine + ": failing", "fail 1"), f.take());
     }
 
+    /** What fails at one engine after the other is at fault itself: no engine is left out for it. */
+    @Test
+    void aQueryThatFailsEverywhereEndsAndCostsNoEngine() {
+        Fixture f = with(SAFE);
+        for (int i = 0; i < 5; i++) {
+            f.request(i, 0, f.now + 10, 0);
+            for (int attempt = 0; attempt < 3; attempt++) {
+                f.end(i, attempt, f.sentTo(), Outcome.ERROR, false);
+            }
+            assertEquals(List.of("refuse " + i + " 0.5"), f.take());
+        }
+    }
+
     /** A trial is to tell whether its engine is back: it is not called off for being there. */
     @Test
     void aTrialAtAnEjectedEngineMayRun() {
--- a/src/test/java/junipercourse/pg/QueryReaderTest.java
+++ b/src/test/java/junipercourse/pg/QueryReaderTest.java
@@ -48,6 +48,8 @@
         "subject | /* kind=check,req=9b1f03aa5c7e2d41,timeout=5,owner=acme,subject=q */ SELECT 1",
         "resent | /* kind=check,req=9b1f03aa5c7e2d41,timeout=5,owner=acme,resent=yes */ SELECT 1",
         "ms | /* kind=check,req=9b1f03aa5c7e2d41,timeout=5,owner=acme,ms=NaN */ SELECT 1",
+        "timeout | /* kind=check,req=9b1f03aa5c7e2d41,timeout=99999,owner=acme */ SELECT 1",
+        "ms | /* kind=check,req=9b1f03aa5c7e2d41,timeout=5,owner=acme,ms=9e14 */ SELECT 1",
         "ram | /* kind=check,req=9b1f03aa5c7e2d41,timeout=5,owner=acme,ram=-1 */ SELECT 1",
         "statement | /* kind=check,req=9b1f03aa5c7e2d41,timeout=5,owner=acme */",
         "kind | /* kind=check,kind=load,req=9b1f03aa5c7e2d41,timeout=5,owner=acme */ SELECT 1"})
