Let no line of one key end the pass over all held queries; see others past full cores

Cause: Dispatcher.pump ends its pass after 12 misses, and queries waiting for their key's turn counted as misses; a hot key's line ended the pass before everything ranked below. They no longer count.

Reports of busy cores say nothing past full ones: with own threads taken off, others seemed to have 0 to 10 threads on engines where two other dispatchers had some 50. Past 93% others are taken to have as much out as we do. First tries go to the other tier where it alone has room.

--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -63,6 +63,7 @@
     private static final double COLD_SAFETY = 0.7; // of the cold budget: work and speed are guesses
     private static final double COLD_CHANCE = 3; // deviations kept free in it for sends of other gateways
     private static final double CAPACITY_BUSY = 0.85; // share of cores busy at capacity
+    private static final double FULL_BUSY = 0.93; // share of cores told as busy that may be all: words lag
     private static final double ANSWER_LEAD_S = 0.04; // before the deadline: an answer needs a turn
     private static final double LATE_MIN = 0.2; // late answers worth less are not waited for
     private static final double LATE_HOLD = 0.5; // of its time a request is held once its aim is lost
@@ -392,9 +393,12 @@
         int kept = 0;
         for (int i = 0; i < held.size(); i++) {
             Job job = held.get(i);
-            Node n = misses < MISSES && !waitsForWord(now, job) ? choose(now, job) : null;
+            // Who waits for his turn says nothing of the engines' room: a long line of one key, ranked high,
+            // is not to end the pass for all that stand behind it.
+            boolean ready = rule5Turn(now, job) && !waitsForWord(now, job);
+            Node n = ready && misses < MISSES ? choose(now, job) : null;
             if (n == null) {
-                misses++;
+                misses += ready ? 1 : 0;
                 held.set(kept++, job);
             } else { send(now, job, n); }
         }
@@ -429,7 +433,7 @@
 
     // ---- pick ----
 
-    /** First tries go front unless the back has more spare cores; restarts go back. */
+    /** First tries go front unless the back has more spare cores, or alone has room; restarts go back. */
     private Node choose(double now, Job job) {
         if (!shareFits(job)) { return null; }
         double[] least = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
@@ -448,7 +452,8 @@
             }
         }
         boolean toBack = job.restart ? least[1] < Double.POSITIVE_INFINITY : least[1] < least[0];
-        return best[toBack ? 1 : 0];
+        Node chosen = best[toBack ? 1 : 0];
+        return chosen != null || job.restart ? chosen : best[toBack ? 0 : 1];
     }
 
     private double load(double now, Node n) {
@@ -788,7 +793,7 @@
         for (int i = 0; i < Math.min(report.length, fields.size()); i++) {
             double told = switch (fields.get(i)) {
                 case IN_HAND -> (report[i] - n.out) * mix.threadsEach();
-                case BUSY -> hands ? Double.NaN : report[i] * n.cores - n.threads;
+                case BUSY -> hands ? Double.NaN : busyOthers(n, report[i]);
                 case MEMORY_GRANTED, DISKS_BUSY -> hands ? Double.NaN
                         : report[i] * BOUND * n.cores - n.threads;
                 default -> Double.NaN;
@@ -798,6 +803,13 @@
         if (!Double.isNaN(seen)) { heard(now, n, seen); }
     }
 
+    /** Past full cores a report tells nothing more: then others are taken to have as much out as we do. */
+    private double busyOthers(Node n, double busy) {
+        double seen = busy * n.cores - n.threads;
+        double alike = (settings.gateways() - 1) * ownThreads * n.cores / Math.max(1, allCores);
+        return busy < FULL_BUSY ? seen : Math.max(seen, alike);
+    }
+
     private static double mean(double old, double sample) {
         return Double.isNaN(old) ? sample : old + GAIN * (sample - old);
     }
--- a/src/test/java/junipercourse/decision/DispatcherTest.java
+++ b/src/test/java/junipercourse/decision/DispatcherTest.java
@@ -244,6 +244,43 @@
         assertEquals(List.of("log ejected engine " + engine + ": failing", "fail 1"), f.take());
     }
 
+    /** A long line of one key waits for its turn; it holds up none of what stands behind it. */
+    @Test
+    void aLineOfOneKeyDoesNotHoldUpOthers() {
+        QueryClass serial = new QueryClass("s", Effect.BY_KEY, KeyScope.ALL, 5, true, 1, 0, 20, 9, 0.5, 1,
+                false, false, Set.of(), Set.of());
+        Fixture f = with(serial, SAFE);
+        for (int i = 0; i < 30; i++) {
+            f.request(i, 0, f.now + 20, 9);
+        }
+        assertEquals(1, f.take().stream().filter(a -> a.startsWith("send")).count());
+        f.request(100, 1, f.now + 10, 0);
+        assertTrue(f.take().stream().anyMatch(a -> a.startsWith("send 100 ")));
+    }
+
+    /** A report of full cores does not tell how much others have there: they are taken to be like us. */
+    @Test
+    void fullCoresLeaveNoMoreRoomThanIfOthersDidAsWeDo() {
+        DispatchApi.Settings many = Fixture.many(3, SAFE);
+        DispatchApi.Settings s = new DispatchApi.Settings(3, 0, 0, false, many.weights(), 1,
+                DispatchApi.Telemetry.INLINE,
+                List.of(DispatchApi.LoadField.BUSY), many.classes(), List.of(), many.kinds(), many.limits(),
+                many.guarantees(), many.engines());
+        Fixture f = new Fixture(s);
+        f.engines(1);
+        for (int i = 0; i < 9; i++) { // of 16.5 threads that the engine is to have
+            f.request(i, 0, f.now + 10, 0);
+        }
+        int sent = (int) f.take().stream().filter(a -> a.startsWith("send")).count();
+        f.module.attemptEnd(f.now, new DispatchApi.AttemptEnd(new DispatchApi.RequestId(0), 0,
+                new DispatchApi.EngineId(1), Outcome.OK, 0.1, true, 0, 0, new float[] {1}));
+        f.module.settle(f.now);
+        f.take();
+        f.request(50, 0, f.now + 10, 0);
+        assertEquals(9, sent);
+        assertEquals(List.of(), f.take(), "8 of ours and as many of two others each leave no room");
+    }
+
     /** What fails at one engine after the other is at fault itself: no engine is left out for it. */
     @Test
     void aQueryThatFailsEverywhereEndsAndCostsNoEngine() {
