Gather loads of a group by hash, bound what is held, answer all before SIGKILL

After SIGTERM, what is open at 3.2 s is answered and the process ends before SIGKILL (3.7 s at the earliest); it waited without bound.

--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -23,11 +23,15 @@
 final class Server {
     /** New connections keep coming for 0.4 s after a planned restart begins, and their queries after that. */
     private static final double STILL_COMING_S = 0.75;
+    /** SIGKILL comes 0.7 s and the longest deadline after SIGTERM, of which it counts 3 s: we go before. */
+    private static final double ALL_ANSWERED_S = 3.2;
     private static final double LAST_BYTES_S = 0.05;
     /** Descriptors of the JVM itself, the bus and connections on their way out: about 16 were counted. */
     private static final int OWN_SOCKETS = 28;
     /** Of the others: clients open a third of all descriptors at most, and some only hold theirs. */
     private static final double ENGINE_PART = 0.5;
+    /** Of all descriptors: what may wait for an engine, an eighth of the third that clients may open. */
+    private static final int HELD_PART = 24;
 
     private Config config; // replaced on the loop's thread only
     private final Loop loop;
@@ -43,7 +47,8 @@
         int toEngines = (int) (sockets * ENGINE_PART);
         EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(),
                 toEngines, counters);
-        gateway = new Gateway(loop, config.settings(), config.seed(), engines, counters);
+        gateway = new Gateway(loop, config.settings(), config.seed(),
+                config.resources().sockets() / HELD_PART, engines, counters);
         front = new PgFront(loop, config.settings(), gateway, sockets - toEngines, config.seed(), counters);
         roster = new RosterClient(loop, config.bus(), config.known(), config.zones(),
                 config.settings().kinds().stream().map(Kind::name).toList(), gateway::roster, counters);
@@ -110,7 +115,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::finish, "finish"));
     }
 
-    /** Goes on for as long as clients may still come, then until all are answered. */
+    /** Goes on for as long as clients may still come, then until all are answered, which has its end, too. */
     private void finish() {
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
@@ -119,6 +124,7 @@
                 front.end();
                 gateway.whenIdle(() -> loop.after(LAST_BYTES_S, done::countDown));
             });
+            loop.after(ALL_ANSWERED_S, gateway::answerAll);
         });
         try {
             done.await();
--- a/src/main/java/junipercourse/core/Gateway.java
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -11,8 +11,11 @@
 import junipercourse.core.Counters.Count;
 import junipercourse.decision.DispatchApi;
 import junipercourse.decision.DispatchApi.AttemptEnd;
+import junipercourse.decision.DispatchApi.Effect;
 import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.KeyScope;
 import junipercourse.decision.DispatchApi.Outcome;
+import junipercourse.decision.DispatchApi.QueryClass;
 import junipercourse.decision.DispatchApi.Request;
 import junipercourse.decision.DispatchApi.RequestId;
 import junipercourse.decision.DispatchApi.RosterKind;
@@ -60,12 +63,15 @@
         }
     }
 
-    public Gateway(Loop loop, Settings settings, long seed, Backend backend, Counters counters) {
+    /** At most {@code mostHeld} queries wait for an engine. */
+    public Gateway(Loop loop, Settings settings, long seed, int mostHeld, Backend backend,
+            Counters counters) {
         this.loop = loop;
         this.settings = settings;
         this.backend = backend;
         this.counters = counters;
         this.module = new Dispatcher(settings, seed, this);
+        module.holdAtMost(mostHeld);
     }
 
     // ---- what the fronts and the roster tell ----
@@ -128,6 +134,24 @@
         event(now -> checkIdle());
     }
 
+    /** Answers what is still open: a client told now can go elsewhere; one cut off by our end cannot tell. */
+    public void answerAll() {
+        for (Exchange x : exchanges.all()) {
+            if (!x.answered) {
+                QueryClass c = settings.classes().get(x.query.queryClass());
+                boolean dropped = c.effect() == Effect.BY_KEY && c.scope() == KeyScope.ALL;
+                if (x.attempts == 0 || c.effect() == Effect.REPEATABLE || dropped) {
+                    counters.add(Count.QUERIES_REFUSED);
+                    x.reply.refused(0, "the dispatcher is shutting down");
+                    answered(x);
+                } else {
+                    failed(x, "the dispatcher is shutting down");
+                }
+                abandonInModule(x);
+            }
+        }
+    }
+
     private void checkIdle() {
         if (open == 0 && whenIdle != null) {
             Runnable task = whenIdle;
--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -48,6 +48,8 @@
     private static final double NEAR = 0.12; // threads a core: random among these, so nobody herds
     private static final int FRONT_HOMES = 4; // front engines where a group is read first, by hash
     private static final double HOME_BONUS = 0.4; // threads a core that the first home of a group is worth
+    private static final int LOAD_HOMES = 2; // engines that loads of a group go to first, by hash
+    private static final double LOAD_HOME = 0.8; // threads a core that the first of them is worth
     private static final double HELD_PENALTY = 1.0; // threads a core, where a load holds the group
     private static final double GAIN = 0.08; // of a new sample in running means of logs
     private static final double WORD_GAIN = 0.1; // of a new report in the usual load of engines
@@ -106,7 +108,7 @@
     private double wakeAt = Double.POSITIVE_INFINITY;
     private double rate, rateAt, nextCutoffs, nextTell, probeCredit, middleSlow, usualOthers;
     private double backCores, allCores, ownThreads;
-    private int ejectedNow;
+    private int ejectedNow, mostHeld = Integer.MAX_VALUE;
     private long order;
     private boolean dirty;
 
@@ -122,6 +124,12 @@
         this.shares = settings.tenants().stream().map(t -> new Bucket()).toList();
     }
 
+    /**
+     * Bounds what waits here for an engine. Clients may open only so many connections: one that waits on each
+     * of them keeps out others worth more, which nobody then gets to choose among. Without a call, no bound.
+     */
+    public void holdAtMost(int queries) { mostHeld = Math.max(1, queries); }
+
     // ---- events: they are only taken in here; settle judges and sends once all of a moment are told,
     // so that a gateway that had no turn for a while does not take its own silence for the engines' ----
 
@@ -403,6 +411,7 @@
             } else { send(now, job, n); }
         }
         held.subList(kept, held.size()).clear();
+        while (held.size() > mostHeld) { finish(now, held.get(held.size() - 1)); }
     }
 
     /** True once no answer worth having can come of holding the request longer. */
@@ -464,10 +473,22 @@
         int rank = homes(job).indexOf(n);
         double home = rank < 0 ? 0 : n.back ? HOME_BONUS : HOME_BONUS * (1 - (double) rank / FRONT_HOMES);
         double cost = load - home;
+        cost += loadHome(job, n);
         boolean heldUp = (job.c.waits() || job.c.load()) && n.loads.containsKey(job.r.tableGroup());
         return cost + (heldUp ? HELD_PENALTY : 0) + (n == job.avoid ? 1 : 0);
     }
 
+    /**
+     * Loads of a group gather where all gateways alike put them, by hash, and what would stand still behind
+     * a load keeps away from there: nobody tells which groups the loads of others hold.
+     */
+    private double loadHome(Job job, Node n) {
+        if (!anyLoads || !job.c.load() && !job.c.waits()) { return 0; }
+        int rank = homesOf.of(job.r.tableGroup(), front, LOAD_HOMES, back, 0).indexOf(n);
+        double part = rank < 0 ? 0 : LOAD_HOME * (1 - (double) rank / LOAD_HOMES);
+        return job.c.load() ? -part : part;
+    }
+
     /** Others' threads on an engine: what peers tell or, fading with its age, the last word. */
     private double others(double now, Node n) {
         if (peersTell()) { return n.peerThreads; }
--- a/src/main/java/junipercourse/engine/EnginePool.java
+++ b/src/main/java/junipercourse/engine/EnginePool.java
@@ -13,7 +13,7 @@
 
 /** The connections to one engine. A later engine at the same address has a pool of its own. */
 final class EnginePool {
-    private static final int MOST_IDLE = 16;
+    private static final int MOST_IDLE = 32;
     /** Before a connection is used again: by then what an engine sends beyond its answer has come. */
     static final double REST_S = 0.002;
 
--- a/src/test/java/junipercourse/TestBench.java
+++ b/src/test/java/junipercourse/TestBench.java
@@ -74,7 +74,7 @@
         loop = new Loop(() -> counters.add(Counters.Count.INTERNAL_ERRORS));
         EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(),
                 engineConnections, counters);
-        gateway = new Gateway(loop, config.settings(), 7, engines, counters);
+        gateway = new Gateway(loop, config.settings(), 7, 50, engines, counters);
         front = new PgFront(loop, config.settings(), gateway, MOST_CLIENTS, 7, counters);
         front.listen(config.listen());
     }
@@ -159,7 +159,7 @@
         private final Function<String, String> script;
         private volatile long echoMs;
 
-        StubEngine(Function<String, String> script) throws IOException {
+        public StubEngine(Function<String, String> script) throws IOException {
             this.script = script;
             daemon(() -> {
                 while (true) {
@@ -240,7 +240,7 @@
         private final DataInputStream in;
         private byte[] key;
 
-        Client(InetSocketAddress front) throws IOException {
+        public Client(InetSocketAddress front) throws IOException {
             this.front = front;
             socket = new Socket(front.getAddress(), front.getPort());
             socket.setSoTimeout((int) PATIENCE_MS * 2);
--- a/src/test/java/junipercourse/cli/ProcessTest.java
+++ b/src/test/java/junipercourse/cli/ProcessTest.java
@@ -6,6 +6,7 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -19,16 +20,25 @@
 
 /** The whole program as a process of its own, under signals. */
 class ProcessTest {
+    private static final String KNOWN = """
+            "offset":7,"batch":[{"offset":7,"topology":{"complete":true,"members":[{"id":"s-00000001",
+            "host_port":"127.0.0.1:%d","locality":"east","flavor":"std","cell":0,"phase":"Ready",
+            "size":12.0,"up_since_ms":0}]}}]""";
     @TempDir
     private Path folder;
     private ServerSocket oldBus;
     private ServerSocket newBus;
+    private TestBench.StubEngine engine;
     private Process process;
 
     @BeforeEach
     void start() throws IOException {
         oldBus = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
         newBus = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        engine = new TestBench.StubEngine(call -> {
+            TestBench.pause(100);
+            return call.startsWith("DELETE") ? TestBench.GIVEN_UP : TestBench.RUNNING;
+        });
         oldBus.setSoTimeout(10_000);
         newBus.setSoTimeout(5_000);
         configure(oldBus, "listen");
@@ -43,12 +53,14 @@
     void end() throws Exception {
         process.destroyForcibly().waitFor();
         oldBus.close();
+        engine.close();
         newBus.close();
     }
 
     private void configure(ServerSocket bus, String listenKey) throws IOException {
         String text = TestBench.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + bus.getLocalPort() + "\"")
-                .replace("\"offset\":0", "\"offset\":7").replace("\"listen\"", "\"" + listenKey + "\"");
+                .replace("\"offset\":0,\"batch\":[]", KNOWN.formatted(engine.address().getPort()))
+                .replace("\"listen\"", "\"" + listenKey + "\"");
         Files.writeString(folder.resolve("config.json"), text);
     }
 
@@ -86,4 +98,25 @@
         assertTrue(process.waitFor(5, TimeUnit.SECONDS), log());
         assertTrue(log().contains("config_reloaded=1 config_rejected=1"), log());
     }
+
+    /** SIGTERM: clients may still come for a while, what was taken is answered, and the end is in time. */
+    @Test
+    void terminationAnswersAllBeforeItIsForced() throws Exception {
+        TestBench.await(() -> log().contains("listens on"));
+        int port = Integer.parseInt(log().split("listens on [^:]*:")[1].split("\\D")[0]);
+        InetSocketAddress front = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        try (TestBench.Client taken = new TestBench.Client(front)) {
+            taken.start().write(TestBench.Client.message(TestBench.query("load", 1, 19_000)));
+            TestBench.await(() -> engine.count("POST") == 1);
+            long from = System.nanoTime();
+            signal("TERM");
+            TestBench.pause(300);
+            try (TestBench.Client late = new TestBench.Client(front)) {
+                assertEquals("I", late.start().ask(" "), "a client that comes 0.3 s later is served");
+            }
+            assertEquals("E(53300 the dispatcher is shutting down)", taken.answer());
+            assertTrue(process.waitFor(1, TimeUnit.SECONDS), log());
+            assertEquals(0, Math.max(0, (System.nanoTime() - from) / 1_000_000 - 3700), "ms too late");
+        }
+    }
 }
--- a/src/test/java/junipercourse/decision/DispatcherTest.java
+++ b/src/test/java/junipercourse/decision/DispatcherTest.java
@@ -281,6 +281,39 @@
         assertEquals(List.of(), f.take(), "8 of ours and as many of two others each leave no room");
     }
 
+    /** Where clients' connections are few, what is worth least is refused rather than held on too many. */
+    @Test
+    void noMoreIsHeldThanItMay() {
+        Fixture f = with(SAFE);
+        f.module.holdAtMost(3);
+        for (int i = 0; i < 200; i++) {
+            f.request(i, 0, f.now + 10, 0);
+        }
+        List<String> done = f.take();
+        long sent = done.stream().filter(a -> a.startsWith("send")).count();
+        assertEquals(200 - 3 - sent, done.stream().filter(a -> a.startsWith("refuse")).count());
+    }
+
+    /** Gateways that cannot talk put loads of a group in the same place, and reads of it elsewhere. */
+    @Test
+    void loadsOfAGroupGatherAndReadsOfItKeepAway() {
+        QueryClass load = new QueryClass("l", Effect.BY_KEY, KeyScope.ALL, 5, false, 1, 0, 20, 1, 0.5, 1,
+                true, false, Set.of(), Set.of());
+        QueryClass read = new QueryClass("r", Effect.REPEATABLE, KeyScope.ALL, 5, false, 1, 0, 20, 1, 0.5, 1,
+                false, true, Set.of(), Set.of());
+        Set<Long> homes = new java.util.HashSet<>();
+        for (int seed = 0; seed < 6; seed++) { // other gateways
+            Fixture f = new Fixture(Fixture.settings(Fixture.GUARANTEES, false, load, read), seed);
+            f.engines(8);
+            f.request(1, 0, f.now + 10, 0);
+            homes.add(f.sentTo());
+            f.end(1, 0, homes.iterator().next(), Outcome.OK, true);
+            f.request(2, 1, f.now + 10, 0);
+            assertTrue(!homes.contains(f.sentTo()));
+        }
+        assertEquals(1, homes.size());
+    }
+
     /** What fails at one engine after the other is at fault itself: no engine is left out for it. */
     @Test
     void aQueryThatFailsEverywhereEndsAndCostsNoEngine() {
