Refuse held queries only once most client connections are taken; bound unfinished messages

Now the bound is on all in hand: 28% of the descriptors.

Half messages of just under 64 KB on each connection could have passed the heap; all clients together may now hold a 32nd of the memory, and those with over 4 KB of it are closed first.

--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -30,8 +30,11 @@
     private static final int OWN_SOCKETS = 28;
     /** Of the others: clients open a third of all descriptors at most, and some only hold theirs. */
     private static final double ENGINE_PART = 0.5;
-    /** Of all descriptors: what may wait for an engine, an eighth of the third that clients may open. */
-    private static final int HELD_PART = 24;
+    /** Of all descriptors: queries in hand, most of the third that clients may open. */
+    private static final double TAKEN_PART = 0.85 / 3;
+    /** Of all memory: what clients may have sent of unfinished messages. */
+    private static final int INPUT_PART = 32;
+    private static final int MEGABYTE = 1 << 20;
 
     private Config config; // replaced on the loop's thread only
     private final Loop loop;
@@ -48,8 +51,9 @@
         EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(),
                 toEngines, counters);
         gateway = new Gateway(loop, config.settings(), config.seed(),
-                config.resources().sockets() / HELD_PART, engines, counters);
-        front = new PgFront(loop, config.settings(), gateway, sockets - toEngines, config.seed(), counters);
+                (int) (config.resources().sockets() * TAKEN_PART), engines, counters);
+        front = new PgFront(loop, config.settings(), gateway, sockets - toEngines,
+                (long) config.resources().memoryMb() * MEGABYTE / INPUT_PART, config.seed(), counters);
         roster = new RosterClient(loop, config.bus(), config.known(), config.zones(),
                 config.settings().kinds().stream().map(Kind::name).toList(), gateway::roster, counters);
     }
--- a/src/main/java/junipercourse/core/Gateway.java
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -63,15 +63,15 @@
         }
     }
 
-    /** At most {@code mostHeld} queries wait for an engine. */
-    public Gateway(Loop loop, Settings settings, long seed, int mostHeld, Backend backend,
+    /** Past {@code mostTaken} queries in hand, those that wait for an engine are refused. */
+    public Gateway(Loop loop, Settings settings, long seed, int mostTaken, Backend backend,
             Counters counters) {
         this.loop = loop;
         this.settings = settings;
         this.backend = backend;
         this.counters = counters;
         this.module = new Dispatcher(settings, seed, this);
-        module.holdAtMost(mostHeld);
+        module.takeAtMost(mostTaken);
     }
 
     // ---- what the fronts and the roster tell ----
--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -80,6 +80,7 @@
     private static final double TELL_S = 0.15; // between messages to peers: a query's time or less
     private static final double TELL_PER_REQUEST = 0.3; // full messages delivered for each request, at most
     private static final double PEER_OLD_S = 1.5; // a silent peer's work out is no longer counted
+    private static final int HELD_LEAST = 4; // may always wait: room comes every few milliseconds
     private static final int MISSES = 12; // held requests without an engine that end a pass
     private static final double CORES_UNTOLD = 8; // for each unit of rating, where the kind tells none
     private static final double TICK_S = 0.001; // shortest timer
@@ -108,7 +109,7 @@
     private double wakeAt = Double.POSITIVE_INFINITY;
     private double rate, rateAt, nextCutoffs, nextTell, probeCredit, middleSlow, usualOthers;
     private double backCores, allCores, ownThreads;
-    private int ejectedNow, mostHeld = Integer.MAX_VALUE;
+    private int ejectedNow, mostTaken = Integer.MAX_VALUE;
     private long order;
     private boolean dirty;
 
@@ -125,10 +126,10 @@
     }
 
     /**
-     * Bounds what waits here for an engine. Clients may open only so many connections: one that waits on each
-     * of them keeps out others worth more, which nobody then gets to choose among. Without a call, no bound.
+     * Bounds what is in hand, at the cost of what waits for an engine and is worth least. Clients may open
+     * only so many connections: once all are taken, others are kept out whatever they are worth.
      */
-    public void holdAtMost(int queries) { mostHeld = Math.max(1, queries); }
+    public void takeAtMost(int queries) { mostTaken = queries; }
 
     // ---- events: they are only taken in here; settle judges and sends once all of a moment are told,
     // so that a gateway that had no turn for a while does not take its own silence for the engines' ----
@@ -411,7 +412,9 @@
             } else { send(now, job, n); }
         }
         held.subList(kept, held.size()).clear();
-        while (held.size() > mostHeld) { finish(now, held.get(held.size() - 1)); }
+        while (held.size() > HELD_LEAST && jobs.size() > mostTaken) {
+            finish(now, held.get(held.size() - 1));
+        }
     }
 
     /** True once no answer worth having can come of holding the request longer. */
--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -33,14 +33,18 @@
     private final Slots<Session> sessions = new Slots<>();
     private AcceptingChannel<StreamConnection> server;
     private boolean ending;
+    private final long mostInput;
+    private long input;
 
-    public PgFront(Loop loop, Settings settings, Gateway gateway, int mostClients, long seed,
+    /** {@code mostInput} bounds the bytes that all clients together may have sent of unfinished messages. */
+    public PgFront(Loop loop, Settings settings, Gateway gateway, int mostClients, long mostInput, long seed,
             Counters counters) {
         this.loop = loop;
         this.gateway = gateway;
         this.counters = counters;
         this.reader = new QueryReader(settings);
         this.mostClients = mostClients;
+        this.mostInput = mostInput;
         this.random = new SplittableRandom(seed);
     }
 
@@ -128,6 +132,12 @@
         }
     }
 
+    /** Counts what a session holds of its client's bytes; false if all hold too much by now. */
+    boolean holds(int more) {
+        input += more;
+        return input <= mostInput;
+    }
+
     /** The one place where a session's slot is given back. */
     void left(Session session) {
         sessions.remove(session.slot);
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -19,6 +19,7 @@
     private static final int CANCEL = 80877102;
     private static final int SSL = 80877103;
     private static final int GSS = 80877104;
+    private static final int SMALL = 4 * 1024; // a usual query: never closed for what others send
     private static final int MOST_AHEAD = 16 * 1024; // held of a client that writes on while it waits
     private static final int MOST_UNSENT = 64 * 1024; // of answers that a client does not read
     private static final double GOODBYE_S = 1.0; // for a client to read why it is closed
@@ -39,6 +40,7 @@
     private double partSince = Double.POSITIVE_INFINITY;
     private double tookAt = connectedAt;
     private long unsentBefore;
+    private int heldBefore;
     private boolean started;
     private boolean asked;
     private boolean waiting;
@@ -96,6 +98,13 @@
             }
             partSince = in.held() == 0 || waiting ? Double.POSITIVE_INFINITY
                     : Math.min(partSince, Loop.now());
+            int grown = in.held() - heldBefore;
+            heldBefore = in.held();
+            // Guards memory against many who each send the better part of a large message.
+            if (!left && !front.holds(grown) && in.held() > SMALL) {
+                fatal("53200", "too much is held for unfinished messages");
+                return;
+            }
             int most = waiting ? MOST_AHEAD : MessageReader.MAX_MESSAGE + 5;
             link.reading(in.held() < most);
         } catch (MessageReader.GarbledException e) {
@@ -286,7 +295,11 @@
     }
 
     private void leave() {
+        if (left) {
+            return;
+        }
         left = true;
+        front.holds(-heldBefore);
         if (waiting) {
             waiting = false;
             front.gateway().abandon(open);
--- a/src/test/java/junipercourse/pg/SessionTest.java
+++ b/src/test/java/junipercourse/pg/SessionTest.java
@@ -156,4 +156,27 @@
         assertEquals("E(57P05 closed after being idle) closed=true", first.answer());
         assertTrue(System.nanoTime() - from < 1_000_000_000L);
     }
+
+    /** Many that each send most of a large message are turned away before memory runs out; others go on. */
+    @Test
+    void unfinishedMessagesOfAllClientsAreBounded() throws Exception {
+        byte[] most = ByteBuffer.allocate(60_000).put((byte) 'Q').putInt(60_001).array();
+        Client last = null;
+        for (int i = 0; i < 20; i++) { // 1.2 MB, of 1 MB that may be held
+            last = bench.client().start();
+            last.write(most);
+        }
+        Client lastOne = last;
+        TestBench.await(() -> closed(lastOne));
+        assertEquals(SERVED, bench.client().start().ask(query("check", 1, 5000)));
+    }
+
+    /** Closed in order or, with bytes of its own still unread, reset. */
+    private static boolean closed(Client client) {
+        try {
+            return client.answer().endsWith("closed=true");
+        } catch (java.io.IOException e) {
+            return e instanceof java.net.SocketException;
+        }
+    }
 }
