Do not take an engine that answers for dead because one connection broke

Cause: Dispatcher.learn ejected and cooled an engine at its first UNREACHABLE or RESET. Now an engine that answered within half a second is ejected only after three breaks in a row.

--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -58,6 +58,8 @@
     private static final double SILENT_TIMES = 4; // expected latencies without a sign: it hangs
     private static final double SILENT_S = 1.5; // and at least this long
     private static final int FAULTS = 2; // errors without an answer between: one is chance
+    private static final int BREAKS = 3; // connections broken without an answer between: it is dead
+    private static final double ALIVE_S = 0.5; // an engine that answered so lately is not dead
     private static final int QUERY_ERRORS = 3; // of one query at engines that serve others: it is at fault
     private static final double TRIAL_S = 1.0; // first pause of an ejected engine before a trial
     private static final double TRIAL_MAX_S = 8.0; // longest such pause: a return is worth noticing
@@ -760,6 +762,7 @@
         boolean cut = a.cancelled || end.outcome() == Outcome.TIMEOUT;
         if (ok) {
             sign(now, n);
+            n.answeredAt = now;
             learnGrant(a, end.trueMb());
             double usual = Math.min(took, a.expected * SAMPLE_CAP); // one bad plan of few is no tail
             v.tryTook = mean(v.tryTook, usual);
@@ -779,9 +782,15 @@
                 shape.add(size, !ok);
             }
         }
-        if (end.outcome() == Outcome.UNREACHABLE) { startCold(n, now); }
-        if (end.outcome() == Outcome.UNREACHABLE || end.outcome() == Outcome.RESET) { eject(now, n, "dead"); }
-        if (ok) { n.faults = 0; }
+        n.faults = ok ? 0 : n.faults;
+        n.breaks = ok ? 0 : n.breaks;
+        if (end.outcome() == Outcome.UNREACHABLE || end.outcome() == Outcome.RESET) {
+            n.breaks++; // single connections break at engines that answer others all the while
+            if (now - n.answeredAt > ALIVE_S || n.breaks >= BREAKS) {
+                if (end.outcome() == Outcome.UNREACHABLE) { startCold(n, now); }
+                eject(now, n, "dead");
+            }
+        }
         if (end.outcome() == Outcome.ERROR) { blame(now, a.job, n); }
         if (end.outcome() == Outcome.TURNED_AWAY) { heard(now, n, BOUND * n.cores); }
     }
--- a/src/main/java/junipercourse/decision/State.java
+++ b/src/main/java/junipercourse/decision/State.java
@@ -23,10 +23,11 @@
         final Set<Attempt> silent = new LinkedHashSet<>();
         Engine entry;
         boolean back, ejected, failing, probing;
-        int out, faults;
+        int out, faults, breaks;
         double cores, memoryMb, threads, mb, others, slow, lastSign, trialAt, coldCredit, coldAt;
         double peerThreads, peerMb, trialGap;
         double coldFrom = Double.NEGATIVE_INFINITY, wordAt = Double.NEGATIVE_INFINITY;
+        double answeredAt = Double.NEGATIVE_INFINITY;
         double silentFrom = Double.NEGATIVE_INFINITY;
 
         Node(EngineId id) {
--- a/src/test/java/junipercourse/decision/DispatcherTest.java
+++ b/src/test/java/junipercourse/decision/DispatcherTest.java
@@ -314,6 +314,22 @@
         assertEquals(1, homes.size());
     }
 
+    /** One broken connection at an engine that answers others all the while does not leave it out. */
+    @Test
+    void anEngineThatAnswersIsNotDeadForOneBrokenConnection() {
+        Fixture f = new Fixture(Fixture.settings(Fixture.GUARANTEES, false, SAFE));
+        f.engines(1);
+        f.request(1, 0, f.now + 10, 0);
+        f.end(1, 0, f.sentTo(), Outcome.OK, true);
+        f.request(2, 0, f.now + 10, 0);
+        for (int attempt = 0; attempt < 2; attempt++) {
+            f.end(2, attempt, 1, Outcome.UNREACHABLE, false);
+            assertTrue(f.take().stream().noneMatch(a -> a.startsWith("log ejected")));
+        }
+        f.end(2, 2, 1, Outcome.UNREACHABLE, false);
+        assertTrue(f.take().contains("log ejected engine 1: dead"), "the third in a row");
+    }
+
     /** What fails at one engine after the other is at fault itself: no engine is left out for it. */
     @Test
     void aQueryThatFailsEverywhereEndsAndCostsNoEngine() {
