--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -85,6 +85,8 @@
     private static final int HELD_LEAST = 4; // may always wait: room comes every few milliseconds
     private static final int MISSES = 12; // held requests without an engine that end a pass
     private static final double CORES_UNTOLD = 8; // for each unit of rating, where the kind tells none
+    private static final double MUCH = 2; // times the estimate, past which busy shares are not believed
+    private static final double SLOWED = 1.5; // times the estimate, past which cores are surely shared
     private static final double TICK_S = 0.001; // shortest timer
 
     private final Settings settings;
@@ -109,8 +111,8 @@
     private final boolean anyLoads;
     private double startedAt = Double.NaN, nextSubscribe = Double.POSITIVE_INFINITY;
     private double wakeAt = Double.POSITIVE_INFINITY;
-    private double rate, rateAt, nextCutoffs, nextTell, probeCredit, middleSlow, usualOthers;
-    private double backCores, allCores, ownThreads;
+    private double rate, rateAt, nextCutoffs, nextTell, probeCredit, middleSlow, usualOthers, fleetPace;
+    private double backCores, allCores, openThreads;
     private int ejectedNow, mostTaken = Integer.MAX_VALUE;
     private long order;
     private boolean dirty;
@@ -170,7 +172,10 @@
         probeCredit = Math.min(probeCredit + PROBES_PER_REQUEST, PROBES_AT_ONCE);
         Job job = new Job(r, v, now, order++, overShare(now, r), random.nextDouble());
         v.arrivals++;
-        if (r.cost() > 0) { v.logUnit = mean(v.logUnit, Math.log(unit(job))); }
+        if (r.cost() > 0) {
+            v.logUnit = mean(v.logUnit, Math.log(unit(job)));
+            v.work = mean(v.work, r.cost());
+        }
         jobs.put(r.id(), job);
         keyLines.add(job);
         if (hopeless(now, job)) { // rule 1: some arrive with their time all but gone
@@ -208,7 +213,8 @@
         dirty = true;
         learn(now, a, end);
         release(now, a);
-        if (end.report().length > 0) { report(now, a.node, end.report()); }
+        boolean full = end.outcome() == Outcome.TURNED_AWAY; // whose cores may look idle
+        if (!full) { report(now, a.node, end.report(), slow(a, now - a.sentAt)); }
         if (!end.outcome().neverRan() && job.firstRan == null) { job.firstRan = a; }
         if (job.run == a) { job.run = null; }
         if (end.ended()) {
@@ -241,7 +247,7 @@
         n.probing = false;
         dirty = true;
         if (outcome == Outcome.OK) {
-            report(now, n, report);
+            report(now, n, report, false);
         } else if (outcome == Outcome.UNREACHABLE) { // nobody is there, or it can take no one
             eject(now, n, "dead");
         } else if (outcome == Outcome.TIMEOUT) { // full or hung, which a word would not have told better
@@ -315,7 +321,7 @@
         judgeSilence(now, a);
         if (!a.overlong && now - a.sentAt > a.expected * SAMPLE_CAP) { // it must not shut out all that comes
             a.overlong = true;
-            ownThreads -= job.c.threads();
+            a.node.overlong += job.c.threads();
         }
         boolean due = a.first && outlives(now, a) || hangs(a);
         if (due && settings.limits().cancel() && restartFits(now, a)) {
@@ -398,6 +404,8 @@
     }
 
     private void pump(double now) {
+        openThreads = nodes.values().stream().filter(n -> rule3Listed(n) && !n.ejected)
+                .mapToDouble(n -> n.threads - n.overlong).sum(); // others load no engine that takes work
         if (held.isEmpty()) { return; }
         held.sort(Comparator.<Job>comparingDouble(j -> -j.rank).thenComparingLong(j -> j.seq));
         int misses = 0;
@@ -494,11 +502,16 @@
         return job.c.load() ? -part : part;
     }
 
-    /** Others' threads on an engine: what peers tell or, fading with its age, the last word. */
+    /**
+     * Others' threads on an engine: what peers tell or, fading with its age, the last word. Of one that has
+     * told nothing since its start, others know no more: they have there what we have, or all leave it idle.
+     */
     private double others(double now, Node n) {
         if (peersTell()) { return n.peerThreads; }
+        double usual = usualOthers * n.cores * warmth(now, n);
+        if (n.wordAt < n.coldFrom) { usual = Math.min(usual, n.threads * (1 / ownPart() - 1)); }
         double trust = Math.exp((n.wordAt - now) / WORD_S);
-        return trust * n.others + (1 - trust) * usualOthers * n.cores;
+        return trust * n.others + (1 - trust) * usual;
     }
 
     private void heard(double now, Node n, double others) {
@@ -516,15 +529,16 @@
 
     /**
      * Our threads out stay within our part of what all engines bear, looser while these are little loaded,
-     * tighter past the bound: without peers' words, all gateways act on the same old ones. A query fits by
-     * chance where our part is less than one.
+     * tighter past the bound: without peers' words, all gateways act on the same old ones. A slow fleet is
+     * not less loaded than we load it. A query fits by chance where our part is less than one.
      */
     private boolean shareFits(Job job) {
-        double strain = Math.max(STRAIN_MIN, usualOthers / BOUND);
+        double told = fleetPace > Math.log(SLOWED) ? Math.max(usualOthers, alike()) : usualOthers;
+        double strain = Math.max(STRAIN_MIN, told / BOUND);
         double open = job.restart ? RESTART_ROOM : job.over ? OVER_PART : 1;
         double part = ownPart() * (1 + PART_SURE * ownPart()) * open;
         double limit = part * allCores * BOUND / (strain * strain);
-        return peersTell() || ownThreads + job.c.threads() * job.dice <= limit;
+        return peersTell() || openThreads + job.c.threads() * job.dice <= limit;
     }
 
     private boolean hasRoom(double now, Job job, Node n, boolean restart) {
@@ -583,9 +597,9 @@
         job.ends.put(a.index, a);
         n.lastSign = n.out == 0 ? now : n.lastSign;
         n.take(job, mb);
-        ownThreads += job.c.threads();
+        openThreads += n.ejected ? 0 : job.c.threads();
         if (n.ejected) { n.trialAt = now + n.trialGap; }
-        n.coldCredit -= cold(now, n) ? coldCharge(usualWork(job), coldFill(now, n)) : 0;
+        n.coldCredit -= cold(now, n) ? coldCharge(usualWork(job.view), coldFill(now, n)) : 0;
         looks.add(now + Math.min(LOOK_S, cutAfter(job)), job);
     }
 
@@ -599,7 +613,7 @@
     private void release(double now, Attempt a) {
         int threads = a.job.c.threads();
         mix.add(now - a.sentAt, threads, a.mb, GAIN);
-        ownThreads -= a.overlong ? 0 : threads;
+        a.node.overlong -= a.overlong ? threads : 0;
         a.node.drop(a);
     }
 
@@ -668,8 +682,7 @@
         n.coldAt = n.coldFrom;
         double most = 0;
         for (ClassView v : classes) {
-            double took = Double.isNaN(v.tryTook) ? v.c.aim() : v.tryTook;
-            most = Math.max(most, coldCharge(took * v.c.threads(), coldFill(n.coldFrom, n)));
+            most = Math.max(most, coldCharge(usualWork(v), coldFill(n.coldFrom, n)));
         }
         n.coldCredit = -most * random.nextDouble() * (1 - ownPart());
     }
@@ -770,6 +783,7 @@
             double pace = Math.log(took / unit(a.job));
             v.logPace = mean(v.logPace, Double.isNaN(v.logPace) ? pace
                     : Math.min(pace, v.logPace + Math.log(SAMPLE_CAP)));
+            if (a.job.r.cost() > 0) { fleetPace = mean(fleetPace, Math.min(pace, Math.log(SAMPLE_CAP))); }
             readmit(n, "readmitted");
         }
         if (ok || cut && took > a.expected) {
@@ -818,15 +832,19 @@
         n.silent.clear();
     }
 
-    /** What others have there: from queries in hand, else from what is scarcest: cores, disks, memory. */
-    private void report(double now, Node n, float[] report) {
+    /**
+     * What others have there: from queries in hand, else from what is scarcest: cores, disks, memory. Past
+     * its knee an engine thrashes, and its cores tell the less the more it has: where an answer was slowed,
+     * or cores are full, others are taken to have as much out as we have on the mean engine.
+     */
+    private void report(double now, Node n, float[] report, boolean slowed) {
         double seen = Double.NaN;
         List<LoadField> fields = settings.loadFields();
         boolean hands = fields.contains(LoadField.IN_HAND);
         for (int i = 0; i < Math.min(report.length, fields.size()); i++) {
             double told = switch (fields.get(i)) {
                 case IN_HAND -> (report[i] - n.out) * mix.threadsEach();
-                case BUSY -> hands ? Double.NaN : busyOthers(n, report[i]);
+                case BUSY -> hands ? Double.NaN : busyOthers(n, report[i], slowed);
                 case MEMORY_GRANTED, DISKS_BUSY -> hands ? Double.NaN
                         : report[i] * BOUND * n.cores - n.threads;
                 default -> Double.NaN;
@@ -836,13 +854,19 @@
         if (!Double.isNaN(seen)) { heard(now, n, seen); }
     }
 
-    /** Past full cores a report tells nothing more: then others are taken to have as much out as we do. */
-    private double busyOthers(Node n, double busy) {
+    private double busyOthers(Node n, double busy, boolean slowed) {
         double seen = busy * n.cores - n.threads;
-        double alike = (settings.gateways() - 1) * ownThreads * n.cores / Math.max(1, allCores);
-        return busy < FULL_BUSY ? seen : Math.max(seen, alike);
+        return slowed || busy >= FULL_BUSY ? Math.max(seen, alike() * n.cores) : seen;
+    }
+
+    /** In a fleet that is much slowed, an answer that is too: one slow answer of a quick fleet is chance. */
+    private boolean slow(Attempt a, double took) {
+        return fleetPace > Math.log(MUCH) && a.job.r.cost() > 0 && took > MUCH * unit(a.job);
     }
 
+    /** Threads a core that others have out if each has as much as we do for its part of the traffic. */
+    private double alike() { return (1 / ownPart() - 1) * openThreads / Math.max(1, allCores); }
+
     private static double mean(double old, double sample) {
         return Double.isNaN(old) ? sample : old + GAIN * (sample - old);
     }
@@ -861,8 +885,10 @@
         return job.r.cost() > 0 && !Double.isNaN(usual) ? Math.max(1, unit(job) / Math.exp(usual)) : 1;
     }
 
-    private double usualWork(Job job) {
-        return Math.max(expected(job), job.c.aim() * 0.2) * job.c.threads();
+    /** Rule 4 weighs a query by the usual work of its class, which does not rise while engines are slow. */
+    private double usualWork(ClassView v) {
+        double took = Double.isNaN(v.tryTook) ? v.c.aim() : v.tryTook;
+        return Double.isNaN(v.work) ? took * v.c.threads() : v.work;
     }
 
     private double aimAt(Job job) {
--- a/src/main/java/junipercourse/decision/State.java
+++ b/src/main/java/junipercourse/decision/State.java
@@ -25,7 +25,7 @@
         boolean back, ejected, failing, probing;
         int out, faults, breaks;
         double cores, memoryMb, threads, mb, others, slow, lastSign, trialAt, coldCredit, coldAt;
-        double peerThreads, peerMb, trialGap;
+        double peerThreads, peerMb, trialGap, overlong;
         double coldFrom = Double.NEGATIVE_INFINITY, wordAt = Double.NEGATIVE_INFINITY;
         double answeredAt = Double.NEGATIVE_INFINITY;
         double silentFrom = Double.NEGATIVE_INFINITY;
@@ -106,6 +106,7 @@
         final QueryClass c;
         final ProductLimit tail;
         double logPace = Double.NaN, logUnit = Double.NaN, tryTook = Double.NaN, restartTook = Double.NaN;
+        double work = Double.NaN;
         double cutoff, arrivals, served = 1, logGrant;
 
         ClassView(QueryClass c, int samples, double logGrant) {
