Check whole numbers in the settings by key; let each part of the fleet rules have a test

'balancers' of 0 was named as 'gateways', 2.5 and 1e12 were taken: SettingsReader.integer now checks all whole numbers and names the key (exit code 2, tried by hand). The module is the same but for a constant's name.

--- a/src/main/java/junipercourse/config/SettingsReader.java
+++ b/src/main/java/junipercourse/config/SettingsReader.java
@@ -52,7 +52,7 @@
     }
 
     private Settings settings() {
-        return new Settings(integer("balancers", 1), integer("ordinal", 0), integer("my_zone", 0),
+        return new Settings(integer("balancers", 1, 1), integer("ordinal", 0, 0), integer("my_zone", 0, 0),
                 word("registry_mode", "push").equals("ask"), choice("weights", Weights.class, "off"),
                 number("over_share_worth", 1), choice("telemetry.via", Telemetry.class, "off"),
                 loadFields(), classes(), tenants(), kinds(), limits(), guarantees(), engineRules());
@@ -81,7 +81,7 @@
 
     private List<Tenant> tenants() {
         List<Tenant> out = new ArrayList<>();
-        for (int i = 0; i < integer("tenants.count", 0); i++) {
+        for (int i = 0; i < integer("tenants.count", 0, 0); i++) {
             String p = "tenants." + i + ".";
             out.add(new Tenant(word(p + "name", "tenant-" + i), number(p + "portion", 0),
                     number(p + "quota_per_s", 0)));
@@ -106,7 +106,7 @@
         return new Limits(flag("limits.cancel", false), flag("limits.probes", false),
                 flag("limits.peer_messages", false), flag("limits.second_copies", false),
                 flag("limits.retry_after", false), number("limits.max_retry_after_s", 0),
-                integer("limits.try_limit", 0), number("limits.dial_timeout_s", 0));
+                integer("limits.try_limit", 0, 0), number("limits.dial_timeout_s", 0));
     }
 
     private Guarantees guarantees() {
@@ -173,8 +173,13 @@
         return value.equals("true");
     }
 
-    private int integer(String key, int fallback) {
-        return (int) number(key, fallback);
+    private int integer(String key, int least, int fallback) {
+        double value = number(key, fallback);
+        if (value != Math.rint(value) || value < least || value > Integer.MAX_VALUE) {
+            throw new ConfigException("settings." + key,
+                    "not a whole number of " + least + " or more: " + pairs.get(key));
+        }
+        return (int) value;
     }
 
     private double number(String key, double fallback) {
--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -85,7 +85,7 @@
     private static final int HELD_LEAST = 4; // may always wait: room comes every few milliseconds
     private static final int MISSES = 12; // held requests without an engine that end a pass
     private static final double CORES_UNTOLD = 8; // for each unit of rating, where the kind tells none
-    private static final double MUCH = 2; // times the estimate, past which busy shares are not believed
+    private static final double SLOWED_MUCH = 2; // times the estimate, past which no busy share is believed
     private static final double SLOWED = 1.5; // times the estimate, past which cores are surely shared
     private static final double TICK_S = 0.001; // shortest timer
 
@@ -861,7 +861,7 @@
 
     /** In a fleet that is much slowed, an answer that is too: one slow answer of a quick fleet is chance. */
     private boolean slow(Attempt a, double took) {
-        return fleetPace > Math.log(MUCH) && a.job.r.cost() > 0 && took > MUCH * unit(a.job);
+        return fleetPace > Math.log(SLOWED_MUCH) && a.job.r.cost() > 0 && took > SLOWED_MUCH * unit(a.job);
     }
 
     /** Threads a core that others have out if each has as much as we do for its part of the traffic. */
--- a/src/test/java/junipercourse/config/ConfigTest.java
+++ b/src/test/java/junipercourse/config/ConfigTest.java
@@ -52,6 +52,9 @@
         "settings.grades.1.deadline_s | 20.0 | \"long\"",
         "settings.grades.0.goal_time_s | \"goal_time_s\":1.5, | ' '",
         "settings | \"deadline_s\":7.5 | \"deadline_s\":-1",
+        "settings.balancers | \"balancers\":1 | \"balancers\":0",
+        "settings.balancers | \"balancers\":1 | \"balancers\":2.5",
+        "settings.balancers | \"balancers\":1 | \"balancers\":1e12",
         "settings.limits.cancel | \"cancel\":true | \"cancel\":7",
         "settings.limits.conn_idle_s | 30.0 | \"x\"",
         "settings.telemetry.fields | \"busy\" | \"mood\""})
--- a/src/test/java/junipercourse/decision/FleetTest.java
+++ b/src/test/java/junipercourse/decision/FleetTest.java
@@ -20,117 +20,208 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Queue;
+import java.util.function.ToDoubleFunction;
 import org.junit.jupiter.api.Test;
 
 /** What many dispatchers do together to engines of 10 cores; each knows only its own part. */
 class FleetTest {
     private static final int GATEWAYS = 14;
     private static final double WORK_S = 0.3;
-    private static final double NEW = 99;
+    private static final double JAM_S = WORK_S * 5;
+    private static final long NEW = 99;
 
-    /** Dispatchers that are told of load by the share of busy cores, as in service. */
-    private static List<Fixture> fleet(int engines) {
-        List<Fixture> fleet = new ArrayList<>();
-        for (int i = 0; i < GATEWAYS; i++) {
+    /** One dispatcher, its queries and when engines answer them; ids of engines tell how they do. */
+    private static final class Played {
+        final Fixture f;
+        final List<Long> sentTo = new ArrayList<>();
+        final List<Double> sentAt = new ArrayList<>();
+        final Queue<Map.Entry<Double, String>> out = new PriorityQueue<>(Map.Entry.comparingByKey());
+        private long lastId;
+
+        Played(int ordinal, LoadField told, int engines) {
             Settings s = Fixture.many(GATEWAYS, Fixture.queryClass(Effect.REPEATABLE, 1.2, 6, 1));
-            Fixture f = new Fixture(new Settings(GATEWAYS, i, 0, false, s.weights(), 1, s.telemetry(),
-                    List.of(LoadField.BUSY), s.classes(), s.tenants(), s.kinds(), s.limits(), s.guarantees(),
-                    s.engines()), i + 1);
+            f = new Fixture(new Settings(GATEWAYS, ordinal, 0, false, s.weights(), 1, s.telemetry(),
+                    List.of(told), s.classes(), s.tenants(), s.kinds(), s.limits(), s.guarantees(),
+                    s.engines()), ordinal + 1);
             f.engines(engines);
-            fleet.add(f);
         }
-        return fleet;
-    }
 
-    private static void request(Fixture f, long id) {
-        f.module.request(f.now, new Request(new RequestId(id), 0, 0, f.now + 6, 0, 0, WORK_S, 0, false));
-        f.module.settle(f.now);
-    }
+        /** So many queries at once; tells where they went. */
+        List<Long> ask(int queries, ToDoubleFunction<Long> latency) {
+            int before = sentTo.size();
+            for (int i = 0; i < queries; i++) {
+                f.module.request(f.now, new Request(new RequestId(++lastId), 0, 0, f.now + 6, 0, 0, WORK_S, 0,
+                        false));
+                f.module.settle(f.now);
+                note(latency);
+            }
+            return sentTo.subList(before, sentTo.size());
+        }
 
-    private static void answer(Fixture f, String send, float busy) {
-        String[] part = send.split(" ");
-        f.module.attemptEnd(f.now, new AttemptEnd(new RequestId(Long.parseLong(part[1])), 0,
-                new EngineId(Long.parseLong(part[2])), Outcome.OK, 0, true, 0, 0, new float[] {busy}));
-        f.module.settle(f.now);
-    }
+        private void note(ToDoubleFunction<Long> latency) {
+            f.take().stream().filter(a -> a.startsWith("send")).forEach(a -> {
+                long engine = Long.parseLong(a.split(" ")[2]);
+                sentTo.add(engine);
+                sentAt.add(f.now);
+                out.add(Map.entry(f.now + latency.applyAsDouble(engine), a));
+            });
+        }
 
-    /** A while in which every answer takes so long and tells of so many busy cores. */
-    private static void serve(Fixture f, double seconds, float busy) {
-        for (int i = 0; i < 60; i++) {
-            request(f, 1000 + i);
-            List<String> sends = f.take().stream().filter(a -> a.startsWith("send")).toList();
-            f.run(seconds);
-            sends.forEach(s -> answer(f, s, busy));
+        void run(double seconds, ToDoubleFunction<Long> latency, ToDoubleFunction<Long> report) {
+            for (double until = f.now + seconds; f.now < until;) {
+                f.run(0.025);
+                note(latency);
+                while (!out.isEmpty() && out.peek().getKey() <= f.now) {
+                    String[] send = out.poll().getValue().split(" ");
+                    long engine = Long.parseLong(send[2]);
+                    f.module.attemptEnd(f.now, new AttemptEnd(new RequestId(Long.parseLong(send[1])), 0,
+                            new EngineId(engine), Outcome.OK, 0, true, 0, 0,
+                            new float[] {(float) report.applyAsDouble(engine)}));
+                    f.module.settle(f.now);
+                    note(latency);
+                }
+            }
+        }
+
+        /** A steady while: a query each quarter of a second. */
+        void serve(double seconds, ToDoubleFunction<Long> latency, ToDoubleFunction<Long> report) {
+            for (double until = f.now + seconds; f.now < until;) {
+                ask(1, latency);
+                run(0.25, latency, report);
+            }
+        }
+
+        void list(long engine, Stage stage, double startedAt) {
+            f.module.roster(f.now, RosterKind.DELTA,
+                    List.of(new Engine(new EngineId(engine), 0, 0, 0, stage, 1, startedAt)));
+            f.module.settle(f.now);
         }
-        f.take();
     }
 
-    private static long sends(List<String> actions) {
-        return actions.stream().filter(a -> a.startsWith("send")).count();
+    private static List<Played> fleet(LoadField told, int engines) {
+        List<Played> fleet = new ArrayList<>();
+        for (int i = 0; i < GATEWAYS; i++) {
+            fleet.add(new Played(i, told, engines));
+        }
+        return fleet;
     }
 
     @Test
-    void thrashingEnginesAreNotTakenForIdle() {
+    void aJammedFleetIsNotTakenForIdle() {
         long sent = 0;
-        int engines = 12;
-        for (Fixture f : fleet(engines)) {
-            serve(f, WORK_S * 5, 0.4f);
-            for (int i = 0; i < 100; i++) {
-                request(f, 5000 + i);
-            }
-            sent += sends(f.take());
+        for (Played p : fleet(LoadField.BUSY, 12)) {
+            p.serve(15, e -> JAM_S, e -> 0.4);
+            p.ask(100, e -> JAM_S);
+            sent += p.out.size();
         }
-        assertTrue(sent > engines * 10, "they still get what they bear: " + sent);
-        assertTrue(sent <= engines * 10 * 2.2, "threads out on 120 cores: " + sent);
+        assertTrue(sent > 120, "they still get what they bear: " + sent);
+        assertTrue(sent <= 120 * 2.2, "threads out on 120 cores: " + sent);
     }
 
     @Test
     void idleEnginesOfAQuickFleetTakeABurst() {
-        Fixture f = fleet(12).get(0);
-        serve(f, WORK_S, 0.1f);
-        for (int i = 0; i < 40; i++) {
-            request(f, 5000 + i);
+        Played p = fleet(LoadField.BUSY, 12).get(0);
+        p.serve(15, e -> WORK_S, e -> 0.1);
+        assertEquals(40, p.ask(40, e -> WORK_S).size(), "far over our part, which others leave free");
+    }
+
+    /** In a jam the engine that thrashes most tells of the least busy cores. */
+    @Test
+    void inAJamAnEngineOfIdleCoresDrawsNoCrowd() {
+        long crowd = 0;
+        long all = 0;
+        for (Played p : fleet(LoadField.BUSY, 12)) {
+            p.serve(10, e -> JAM_S, e -> 0.6);
+            int before = p.sentTo.size();
+            p.serve(20, e -> JAM_S, e -> e == 1 ? 0 : 0.6);
+            List<Long> then = p.sentTo.subList(before, p.sentTo.size());
+            crowd += then.stream().filter(e -> e == 1).count();
+            all += then.size();
+        }
+        assertTrue(crowd < all / 6, crowd + " of " + all + " to one of 12");
+    }
+
+    /** One slow answer of a quick fleet is chance, and its engine's idle cores are believed. */
+    @Test
+    void inAQuickFleetAnEngineOfIdleCoresIsChosen() {
+        long chosen = 0;
+        for (Played p : fleet(LoadField.BUSY, 3)) {
+            p.serve(10, e -> WORK_S, e -> 0.8);
+            p.ask(8, e -> e == 1 ? JAM_S : 30);
+            p.run(JAM_S + 0.1, e -> WORK_S, e -> e == 1 ? 0 : 0.8);
+            chosen += p.ask(1, e -> WORK_S).get(0) == 1 ? 1 : 0;
         }
-        assertEquals(40, sends(f.take()), "far over our part, which others leave free");
+        assertTrue(chosen > GATEWAYS / 2, "chosen by " + chosen);
     }
 
     @Test
     void anEngineThatTurnsQueriesAwayIsFullWhateverItsCoresTell() {
-        Fixture f = fleet(1).get(0);
-        request(f, 1);
-        f.module.attemptEnd(f.now, new AttemptEnd(new RequestId(1), 0, new EngineId(1),
+        Played p = fleet(LoadField.BUSY, 1).get(0);
+        p.ask(1, e -> WORK_S);
+        p.f.module.attemptEnd(p.f.now, new AttemptEnd(new RequestId(1), 0, new EngineId(1),
                 Outcome.TURNED_AWAY, 0, false, 0, 0, new float[] {0.1f}));
-        f.module.settle(f.now);
-        assertEquals(1, sends(f.take()), "and no second time at once");
+        p.f.module.settle(p.f.now);
+        assertEquals(List.of(), p.f.take().stream().filter(a -> a.startsWith("send")).toList());
+    }
+
+    @Test
+    void whatDrainingEnginesStillRunTakesNoRoomFromOthers() {
+        Played p = fleet(LoadField.BUSY, 4).get(0);
+        assertEquals(40, p.ask(40, e -> 30).size());
+        for (long e = 1; e <= 3; e++) {
+            p.list(e, Stage.DRAINING, 0);
+        }
+        assertTrue(p.ask(10, e -> 30).size() > 0, "the last one has room");
+    }
+
+    /** All are so full that nobody's guess of a new one leaves room: it must not be guessed alike. */
+    @Test
+    void anEngineThatNobodyHasHeardOfIsUsedHoweverFullTheOthersAre() {
+        long sent = 0;
+        for (Played p : fleet(LoadField.IN_HAND, 4)) {
+            p.serve(5, e -> WORK_S, e -> 60);
+            p.list(NEW, Stage.READY, p.f.now);
+            p.ask(1, e -> 30);
+            p.run(3, e -> 30, e -> 60);
+            sent += p.sentTo.stream().filter(e -> e == NEW).count();
+        }
+        assertTrue(sent > 3, "sent by all " + sent);
+    }
+
+    /** Once its last word is old, a cold engine is taken to have as much less as it bears less. */
+    @Test
+    void aColdEngineIsNotTakenToBeAsFullAsWarmOnes() {
+        long sent = 0;
+        for (Played p : fleet(LoadField.IN_HAND, 4)) {
+            p.serve(5, e -> WORK_S, e -> 14);
+            p.list(NEW, Stage.READY, p.f.now);
+            p.run(0.1, e -> WORK_S, e -> 14);
+            p.f.module.probeDone(p.f.now, new EngineId(NEW), Outcome.OK, 0, new float[] {0});
+            p.serve(4, e -> WORK_S, e -> e == NEW ? 0 : 14);
+            p.f.run(1);
+            int before = p.sentTo.size();
+            p.serve(1, e -> WORK_S, e -> e == NEW ? 0 : 14);
+            sent += p.sentTo.subList(before, p.sentTo.size()).stream().filter(e -> e == NEW).count();
+        }
+        assertTrue(sent > GATEWAYS, "sent by all " + sent);
     }
 
     /** All hear of a new engine at once while the others are full: it is used, and not pushed over. */
     @Test
     void allTogetherUseANewEngineAndStayUnderTheColdStartRule() {
-        List<Fixture> fleet = fleet(4);
         Guarantees g = Fixture.GUARANTEES;
         List<Double> sentAt = new ArrayList<>();
-        for (Fixture f : fleet) {
-            serve(f, WORK_S * 4, 1);
-            double start = f.now;
-            f.module.roster(f.now, RosterKind.DELTA,
-                    List.of(new Engine(new EngineId((long) NEW), 0, 0, 0, Stage.READY, 1, start)));
-            Queue<Map.Entry<Double, String>> out = new PriorityQueue<>(Map.Entry.comparingByKey());
-            for (int i = 0; i < 240; i++) { // the new one answers soon, the others late
-                if (i % 3 == 0) {
-                    request(f, 5000 + i);
-                }
-                f.run(0.025);
-                f.take().stream().filter(a -> a.startsWith("send")).forEach(a -> {
-                    boolean fresh = a.endsWith(" 99");
-                    out.add(Map.entry(f.now + WORK_S * (fresh ? 1 : 4), a));
-                    if (fresh) {
-                        sentAt.add(f.now - start);
-                    }
-                });
-                while (!out.isEmpty() && out.peek().getKey() <= f.now) {
-                    String send = out.poll().getValue();
-                    answer(f, send, send.endsWith(" 99") ? 0.3f : 1);
+        for (Played p : fleet(LoadField.BUSY, 4)) {
+            p.serve(15, e -> JAM_S, e -> 1);
+            double start = p.f.now;
+            p.list(NEW, Stage.READY, start);
+            for (int i = 0; i < 80; i++) {
+                p.ask(1, e -> e == NEW ? WORK_S : JAM_S);
+                p.run(0.075, e -> e == NEW ? WORK_S : JAM_S, e -> e == NEW ? 0.3 : 1);
+            }
+            for (int i = 0; i < p.sentTo.size(); i++) {
+                if (p.sentTo.get(i) == NEW) {
+                    sentAt.add(p.sentAt.get(i) - start);
                 }
             }
         }
