Wait for a port that a predecessor still holds, and say for how long

Why predecessors hang there is still to be found. Change: listen tries again every 0.1 s for 25 s (clients come 30 s after the start at the latest, DEPLOY), logs that it waits and how long it did; the final error names the address and the time waited. Only a taken port is waited for: on an address of another machine no port can be had, and that fails at once as before.

--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -1,6 +1,9 @@
 package junipercourse.cli;
 
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +34,9 @@
     /** SIGKILL comes 0.7 s and the longest deadline after SIGTERM, of which it counts 3 s: we go before. */
     private static final double ALL_ANSWERED_S = 3.2;
     private static final double LAST_BYTES_S = 0.05;
+    /** For a predecessor at our address to end; clients come 30 s after the start at the latest (DEPLOY). */
+    private static final double LISTEN_PATIENCE_S = 25;
+    private static final double LISTEN_AGAIN_S = 0.1;
     /** Descriptors of the JVM itself, the bus and connections on their way out: about 16 were counted. */
     private static final int OWN_SOCKETS = 28;
     /** Connections to engines that are closed but still count, and beyond which they are waited for. */
@@ -104,21 +110,16 @@
         }
     }
 
-    /** Returns once clients can connect. */
+    /**
+     * Returns once clients can connect. A port in use is waited for, {@value #LISTEN_PATIENCE_S} s at most.
+     *
+     * @throws IOException if the address cannot be listened on; it is named, and how long it was waited for
+     */
     void start() throws IOException {
         CompletableFuture<Void> started = new CompletableFuture<>();
         loop.execute(() -> {
-            try {
-                roster.start();
-                front.listen(config.listen());
-                loop.attend();
-                started.complete(null);
-            } catch (IOException e) {
-                started.completeExceptionally(new IOException("cannot listen on " + config.listen() + ": "
-                        + e.getMessage()));
-            } catch (RuntimeException e) {
-                started.completeExceptionally(e);
-            }
+            roster.start();
+            listen(started, loop.now());
         });
         try {
             started.get();
@@ -132,6 +133,42 @@
         Logger.info("{} listens on {}", config.name(), front.address());
     }
 
+    private void listen(CompletableFuture<Void> started, double since) {
+        double waited = loop.now() - since;
+        try {
+            front.listen(config.listen());
+            loop.attend();
+            if (waited > 0) {
+                Logger.info("{} was in use for {} ms", config.listen(), millis(waited));
+            }
+            started.complete(null);
+        } catch (IOException e) {
+            if (waited < LISTEN_PATIENCE_S && inUse(config.listen(), e)) {
+                if (waited < LISTEN_AGAIN_S) {
+                    Logger.warn("{} is in use; trying again for {} s", config.listen(), LISTEN_PATIENCE_S);
+                }
+                loop.after(LISTEN_AGAIN_S, () -> listen(started, since));
+            } else {
+                started.completeExceptionally(new IOException("cannot listen on " + config.listen() + ": "
+                        + e.getMessage() + "; waited " + millis(waited) + " ms"));
+            }
+        } catch (RuntimeException e) {
+            started.completeExceptionally(e);
+        }
+    }
+
+    /** Whether it is the port that is taken: on an address that is not ours, no port can be had. */
+    private static boolean inUse(InetSocketAddress address, IOException failure) {
+        if (!(failure instanceof BindException)) {
+            return false;
+        }
+        try (ServerSocket any = new ServerSocket(0, 1, address.getAddress())) {
+            return any.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** From now on SIGHUP, which would end a JVM, takes on the configuration file as it is by then. */
     void reloadOnHangUp(Map<String, String> environment) {
         Signals.on("HUP", () -> reload(environment));
--- a/src/test/java/junipercourse/DispatcherProcess.java
+++ b/src/test/java/junipercourse/DispatcherProcess.java
@@ -16,12 +16,17 @@
 
     /** Starts it; {@code descriptors} is enforced by the system, as the platform does. */
     public DispatcherProcess(Path folder, int descriptors) throws IOException {
+        this(folder, descriptors, folder.resolve("config.json"));
+    }
+
+    /** The same with a configuration from elsewhere; {@code folder} holds its log. */
+    public DispatcherProcess(Path folder, int descriptors, Path config) throws IOException {
         log = folder.resolve("log");
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + descriptors
                 + " && exec '" + System.getProperty("java.home") + "/bin/java' -XX:-UsePerfData -Xmx48m"
                 + " -XX:+UseSerialGC -cp '" + System.getProperty("java.class.path")
                 + "' junipercourse.cli.Main serve");
-        builder.environment().put("RELAY_CONFIG", folder.resolve("config.json").toString());
+        builder.environment().put("RELAY_CONFIG", config.toString());
         builder.redirectErrorStream(true).redirectOutput(log.toFile());
         process = builder.start();
     }
--- a/src/test/java/junipercourse/cli/ProcessTest.java
+++ b/src/test/java/junipercourse/cli/ProcessTest.java
@@ -83,6 +83,41 @@
         assertTrue(process.log().contains("config_reloaded=1 config_rejected=1"), process.log());
     }
 
+    /** A successor that is started while its predecessor holds the address waits for it, and says so. */
+    @Test
+    void anAddressInUseIsWaitedFor() throws Exception {
+        process.address();
+        Path config = folder.resolve("config.json");
+        try (ServerSocket holder = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String taken = "127.0.0.1:" + holder.getLocalPort();
+            Files.writeString(config, Files.readString(config).replace("127.0.0.1:0\"", taken + "\""));
+            process.close();
+            process = new DispatcherProcess(folder, 1024);
+            TestBench.await(() -> process.log().contains(taken + " is in use; trying again for 25"));
+        }
+        InetSocketAddress front = process.address();
+        process.signal("TERM"); // it goes on taking clients for 0.75 s, so that the next comes too early
+        TestBench.await(() -> process.log().contains("asked to end"));
+        Path other = Files.createDirectory(folder.resolve("next"));
+        try (DispatcherProcess next = new DispatcherProcess(other, 1024, config)) {
+            assertEquals(front.getPort(), next.address().getPort());
+            try (TestBench.Client client = new TestBench.Client(front)) {
+                assertEquals("I", client.start().ask(" "));
+            }
+        }
+    }
+
+    /** An address that is not this machine's is no port in use: it is named at once, with exit code 1. */
+    @Test
+    void anAddressOfAnotherMachineIsNotWaitedFor() throws Exception {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Files.readString(config).replace("127.0.0.1:0\"", "192.0.2.1:7001\""));
+        process.close();
+        process = new DispatcherProcess(folder, 1024);
+        assertTrue(process.endsWithin(10), process.log());
+        assertTrue(process.log().contains("cannot listen on /192.0.2.1:7001"), process.log());
+    }
+
     /** SIGTERM: clients may still come for a while, what was taken is answered, and the end is in time. */
     @Test
     void terminationAnswersAllBeforeItIsForced() throws Exception {
