Take no refused poll as proof that a query has ended

Ruled out: a DELETE that overtook its POST, and what lay in buffers across the cut (no second attempt followed one). Change: mayLive is gone; a refused poll, page or DELETE is tried again, and a query ends by its engine's word or 2.65 s after the last call that may have arrived. Price: queries of an engine that died wait 2.65 s. Test: a broken connection and a refused poll do not send the query elsewhere within 2 s; it fails on the old code.

--- a/src/main/java/junipercourse/engine/EnginePool.java
+++ b/src/main/java/junipercourse/engine/EnginePool.java
@@ -107,14 +107,6 @@
         ready = takesWork;
     }
 
-    /**
-     * Whether the engine's process may be there although it refused a connection. It refuses those past its
-     * own limit, too; but when it ends, all its connections break, so that none is left here.
-     */
-    boolean mayLive() {
-        return listed && !all.isEmpty();
-    }
-
     /** Runs a call on an idle connection or, if there is none or a fresh one is wanted, on a new one. */
     void call(EngineCall call, boolean fresh, boolean starts) {
         if (!call.wanted()) { // given up while it waited for room
--- a/src/main/java/junipercourse/engine/Fetch.java
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -204,11 +204,7 @@
 
         @Override
         public void unreachable(boolean refused) {
-            if (refused && !pool.mayLive()) { // the process has ended, and the query with it
-                end(End.of(Outcome.RESET));
-            } else {
-                askAgain();
-            }
+            askAgain(); // a process that lives refuses connections, too, past its own limit
         }
     }
 
@@ -367,11 +363,7 @@
 
         @Override
         public void unreachable(boolean refused) {
-            if (refused && !pool.mayLive()) {
-                end(plain(Outcome.ERROR, goodEnd));
-            } else {
-                failed();
-            }
+            failed();
         }
     }
 
@@ -440,11 +432,7 @@
         /** Guards against a second attempt beside one at an engine that merely takes no more connections. */
         @Override
         public void unreachable(boolean refused) {
-            if (refused && !pool.mayLive()) { // the process has ended, and the query with it
-                end(End.of(givenUpAs));
-            } else {
-                later(ASK_AGAIN_S, () -> delete(false));
-            }
+            later(ASK_AGAIN_S, () -> delete(false));
         }
     }
 
--- a/src/test/java/junipercourse/core/RulesOnSocketsTest.java
+++ b/src/test/java/junipercourse/core/RulesOnSocketsTest.java
@@ -194,6 +194,33 @@
         assertEquals(0, second.get(), "the second of the key ran beside the first");
     }
 
+    /** Rule 2: with its only connection broken, a refused poll does not prove that the engine has ended. */
+    @Test
+    void aRefusedPollDoesNotSendTheQueryTwiceWhileTheEngineMayRunIt() throws Exception {
+        CountDownLatch refusing = new CountDownLatch(1);
+        AtomicLong broken = new AtomicLong();
+        AtomicLong second = new AtomicLong();
+        StubEngine e = bench.engine(1, call -> {
+            if (call.startsWith("POST")) {
+                return RUNNING;
+            }
+            TestBench.await(() -> refusing.getCount() == 0);
+            broken.compareAndSet(0, System.nanoTime());
+            return TestBench.BREAK;
+        });
+        Client client = bench.client().start();
+        client.write(Client.message(query("load", 1, 9000)));
+        TestBench.await(() -> e.count("GET") == 1);
+        bench.engine(2, call -> {
+            second.compareAndSet(0, System.nanoTime());
+            return OK;
+        });
+        e.acceptNoMore();
+        refusing.countDown();
+        assertEquals(SERVED, client.answer());
+        assertTrue(second.get() - broken.get() >= 2_000_000_000L, "engines run what nobody asks for for 2 s");
+    }
+
     /** The budget of connections: a query without one waits, and gets it once another is done. */
     @Test
     void connectionsToEnginesStayWithinTheirBudget() throws Exception {
