Limit threads by crowding seen, keep first tries off the back tier, serve classes alike

Faulty lines: shareFits loosens by usualOthers, from busy shares that end at 1 and fall in a jam, and fleetPace counts only what is answered; choose() sends 80 to 124 first tries a second to the ten back engines, which all took for idle, beside 40 restarts, until they held 50 to 124 threads each and did 0.1 to 5 s/s; cutoffs cut 12 to 15% of attempts because all were slow, and 40% of the threads out at 10 s were of attempts that brought nothing. Loads waited 5 to 8 s for a first attempt: ClassView.served moves by 0.02 an answer, and a dispatcher sees a load in 2 s. Change: Crowding (Little's law: thread seconds held over work done, cut and hanging attempts counted) tightens the share by the part that is not ours; the back tier takes first tries on a fresh word only, and none while crowded; cutoffs grow with crowding; a class's rank falls with the cube of the part of it that was started.

--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -41,6 +41,7 @@
     private static final double PART_SURE = 1; // by which a gateway of much traffic may pass its part
     private static final double OVER_PART = 0.2; // of it is open to what is over a customer's share
     private static final double STRAIN_MIN = 0.3; // of the bound: a fleet less loaded than this is idle
+    private static final double STRAIN_MOST = 1.6; // leaves 0.6 threads a core: all keep a part
     private static final double MEMORY_FILL = 0.95; // of an engine's memory in grants: estimates scatter
     private static final double GRANT_SLACK = 1.2; // over the estimate: a spill costs more than spare MB
     private static final double GRANT_STEP = 0.1; // of the log of grant over estimate, for each answer
@@ -53,7 +54,8 @@
     private static final double HELD_PENALTY = 1.0; // threads a core, where a load holds the group
     private static final double GAIN = 0.08; // of a new sample in running means of logs
     private static final double WORD_GAIN = 0.1; // of a new report in the usual load of engines
-    private static final double SERVED_GAIN = 0.02; // of an answer in the class's served part
+    private static final double FAIR = 3; // power of the part of a class that was started
+    private static final double FAIR_FEW = 2; // queries before any: a class may be met seldom
     private static final double SAMPLE_CAP = 4; // most slowness one sample tells: it may be a bad plan
     private static final double SILENT_TIMES = 4; // expected latencies without a sign: it hangs
     private static final double SILENT_S = 1.5; // and at least this long
@@ -64,9 +66,6 @@
     private static final double TRIAL_S = 1.0; // first pause of an ejected engine before a trial
     private static final double TRIAL_MAX_S = 8.0; // longest such pause: a return is worth noticing
     private static final double EJECT_PART = 0.34; // of engines out at most; if more seem bad, all are slow
-    private static final double COLD_SAFETY = 0.7; // of the cold budget: work and speed are guesses
-    private static final double COLD_CHANCE = 3; // deviations kept free in it for sends of other gateways
-    private static final double CAPACITY_BUSY = 0.85; // share of cores busy at capacity
     private static final double FULL_BUSY = 0.93; // share of cores told as busy that may be all: words lag
     private static final double ANSWER_LEAD_S = 0.04; // before the deadline: an answer needs a turn
     private static final double LATE_MIN = 0.2; // late answers worth less are not waited for
@@ -85,8 +84,9 @@
     private static final int HELD_LEAST = 4; // may always wait: room comes every few milliseconds
     private static final int MISSES = 12; // held requests without an engine that end a pass
     private static final double CORES_UNTOLD = 8; // for each unit of rating, where the kind tells none
-    private static final double SLOWED_MUCH = 2; // times the estimate, past which no busy share is believed
-    private static final double SLOWED = 1.5; // times the estimate, past which cores are surely shared
+    private static final double CROWDED = 1.7; // thread seconds for one of work: more do less
+    private static final double CROWDED_USUAL = 1.5; // thread seconds for one of work in a fleet well used
+    private static final double CROWD_S = 3, CROWD_PRIOR = 2; // counted over; work before any
     private static final double TICK_S = 0.001; // shortest timer
 
     private final Settings settings;
@@ -104,6 +104,8 @@
     private final Window resent = new Window();
     private final Peers peers = new Peers();
     private final Mix mix = new Mix();
+    private final ColdBudget coldBudget;
+    private final Crowding crowding = new Crowding(CROWD_S, CROWD_PRIOR);
     private final ProductLimit shape = new ProductLimit(SAMPLES);
     private final ClassView[] classes;
     private final List<Bucket> shares;
@@ -111,7 +113,7 @@
     private final boolean anyLoads;
     private double startedAt = Double.NaN, nextSubscribe = Double.POSITIVE_INFINITY;
     private double wakeAt = Double.POSITIVE_INFINITY;
-    private double rate, rateAt, nextCutoffs, nextTell, probeCredit, middleSlow, usualOthers, fleetPace;
+    private double rate, rateAt, nextCutoffs, nextTell, probeCredit, middleSlow, usualOthers;
     private double backCores, allCores, openThreads;
     private int ejectedNow, mostTaken = Integer.MAX_VALUE;
     private long order;
@@ -119,6 +121,7 @@
 
     public Dispatcher(Settings settings, long seed, Actions actions) {
         this.settings = settings;
+        this.coldBudget = new ColdBudget(settings.guarantees());
         this.actions = actions;
         this.random = new SplittableRandom(seed);
         this.totalQuota = settings.tenants().stream().mapToDouble(Tenant::quotaPerS).sum();
@@ -172,6 +175,7 @@
         probeCredit = Math.min(probeCredit + PROBES_PER_REQUEST, PROBES_AT_ONCE);
         Job job = new Job(r, v, now, order++, overShare(now, r), random.nextDouble());
         v.arrivals++;
+        v.asked += job.over ? 0 : 1;
         if (r.cost() > 0) {
             v.logUnit = mean(v.logUnit, Math.log(unit(job)));
             v.work = mean(v.work, r.cost());
@@ -219,7 +223,6 @@
         if (job.run == a) { job.run = null; }
         if (end.ended()) {
             close(job);
-            score(job, end.outcome() == Outcome.OK && now <= aimAt(job));
         } else if (!job.closed && job.run == null) {
             again(now, job, a, end.outcome());
         }
@@ -320,6 +323,7 @@
         }
         judgeSilence(now, a);
         if (!a.overlong && now - a.sentAt > a.expected * SAMPLE_CAP) { // it must not shut out all that comes
+            crowd(now, a, 0);
             a.overlong = true;
             a.node.overlong += job.c.threads();
         }
@@ -400,7 +404,8 @@
         double worth = job.c.worth() * (job.over ? settings.overShareWorth() : 1);
         if (now + expected(job) > aimAt(job)) { worth *= job.c.lateWorth(); }
         double density = worth / (expected(job) * job.c.threads());
-        return density / (0.25 + job.view.served) * (job.restart ? 4 : 1);
+        double part = (job.view.started + FAIR_FEW) / (job.view.asked + FAIR_FEW);
+        return density / Math.pow(part, FAIR) * (job.restart ? 4 : 1);
     }
 
     private void pump(double now) {
@@ -458,6 +463,7 @@
     /** First tries go front unless the back has more spare cores, or alone has room; restarts go back. */
     private Node choose(double now, Job job) {
         if (!shareFits(job)) { return null; }
+        boolean seen = settings.gateways() == 1 || peersTell(); // else all would think the few back ones idle
         double[] least = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         double[] bestCost = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         Node[] best = new Node[2];
@@ -465,7 +471,8 @@
             int tier = n.back ? 1 : 0;
             if (usable(now, job, n)) {
                 double load = load(now, n);
-                least[tier] = Math.min(least[tier], load);
+                boolean known = tier == 0 || job.restart || seen || cold(now, n) || now - n.wordAt < WORD_S;
+                least[tier] = known ? Math.min(least[tier], load) : least[tier];
                 double cost = cost(job, n, load) + random.nextDouble() * NEAR;
                 if (cost < bestCost[tier] && hasRoom(now, job, n, job.restart)) {
                     bestCost[tier] = cost;
@@ -475,7 +482,8 @@
         }
         boolean toBack = job.restart ? least[1] < Double.POSITIVE_INFINITY : least[1] < least[0];
         Node chosen = best[toBack ? 1 : 0];
-        return chosen != null || job.restart ? chosen : best[toBack ? 0 : 1];
+        boolean stay = job.restart || !seen && crowding.factor() > CROWDED;
+        return chosen != null || stay ? chosen : best[toBack ? 0 : 1];
     }
 
     private double load(double now, Node n) {
@@ -529,12 +537,12 @@
 
     /**
      * Our threads out stay within our part of what all engines bear, looser while these are little loaded,
-     * tighter past the bound: without peers' words, all gateways act on the same old ones. A slow fleet is
-     * not less loaded than we load it. A query fits by chance where our part is less than one.
+     * tighter past the bound. Busy shares fall as engines thrash, where crowding tells: more threads do less
+     * work together. A query fits by chance where our part is less than one.
      */
     private boolean shareFits(Job job) {
-        double told = fleetPace > Math.log(SLOWED) ? Math.max(usualOthers, alike()) : usualOthers;
-        double strain = Math.max(STRAIN_MIN, told / BOUND);
+        double crowd = (1 - ownPart()) * Math.pow(crowding.factor() / CROWDED, 2); // by others, unseen
+        double strain = Math.max(STRAIN_MIN, Math.max(usualOthers / BOUND, Math.min(crowd, STRAIN_MOST)));
         double open = job.restart ? RESTART_ROOM : job.over ? OVER_PART : 1;
         double part = ownPart() * (1 + PART_SURE * ownPart()) * open;
         double limit = part * allCores * BOUND / (strain * strain);
@@ -554,10 +562,7 @@
     }
 
     private double warmth(double now, Node n) {
-        double age = now - n.coldFrom;
-        Guarantees g = settings.guarantees();
-        double part = age >= g.warmWithin() ? 1 : Math.max(0, age / g.warmWithin());
-        return g.coldFrom() + (1 - g.coldFrom()) * part;
+        return coldBudget.warmth(now - n.coldFrom);
     }
 
     /** From the estimate or, without one, from the fair part of an engine, where spills can correct it. */
@@ -593,13 +598,15 @@
         a.mb = mb;
         a.expected = expected(job);
         if (a.index > 0) { resent.add(now); }
+        job.view.started += a.index > 0 || job.over ? 0 : 1;
         job.run = a;
         job.ends.put(a.index, a);
         n.lastSign = n.out == 0 ? now : n.lastSign;
         n.take(job, mb);
         openThreads += n.ejected ? 0 : job.c.threads();
         if (n.ejected) { n.trialAt = now + n.trialGap; }
-        n.coldCredit -= cold(now, n) ? coldCharge(usualWork(job.view), coldFill(now, n)) : 0;
+        double charge = coldBudget.charge(usualWork(job.view), now - n.coldFrom, n.cores, ownPart());
+        n.coldCredit -= cold(now, n) ? charge : 0;
         looks.add(now + Math.min(LOOK_S, cutAfter(job)), job);
     }
 
@@ -659,31 +666,17 @@
      */
     private boolean rule4Cold(double now, Job job, Node n) {
         if (!cold(now, n)) { return true; }
-        n.coldCredit = Math.min(0, n.coldCredit + coldFill(now, n) * (now - n.coldAt) * ownPart());
+        double filled = coldBudget.fill(now - n.coldFrom, n.cores) * (now - n.coldAt) * ownPart();
+        n.coldCredit = Math.min(0, n.coldCredit + filled);
         n.coldAt = now;
         return n.coldCredit >= 0;
     }
 
-    /** Work a second that all gateways together may send. */
-    private double coldFill(double now, Node n) {
-        return settings.guarantees().fallMultiple() * warmth(now, n) * n.cores * CAPACITY_BUSY * COLD_SAFETY;
-    }
-
-    /** Work and what chance adds to it: few heavy sends scatter more than many light ones. */
-    private double coldCharge(double work, double fill) {
-        double most = fill * settings.guarantees().fallWindow();
-        double chance = COLD_CHANCE * (1 - ownPart()) * Math.sqrt(work / most);
-        double part = (Math.sqrt(chance * chance + 4) - chance) / 2;
-        return work / (part * part);
-    }
-
     private void startCold(Node n, double at) {
         n.coldFrom = Math.max(n.coldFrom, at);
         n.coldAt = n.coldFrom;
-        double most = 0;
-        for (ClassView v : classes) {
-            most = Math.max(most, coldCharge(usualWork(v), coldFill(n.coldFrom, n)));
-        }
+        double most = Arrays.stream(classes)
+                .mapToDouble(v -> coldBudget.charge(usualWork(v), 0, n.cores, ownPart())).max().orElse(0);
         n.coldCredit = -most * random.nextDouble() * (1 - ownPart());
     }
 
@@ -733,7 +726,6 @@
         } else {
             actions.fail(job.r.id());
         }
-        score(job, false);
         end(job);
     }
 
@@ -761,10 +753,6 @@
         }
     }
 
-    private void score(Job job, boolean inTime) {
-        job.view.served += job.over ? 0 : SERVED_GAIN * ((inTime ? 1 : 0) - job.view.served);
-    }
-
     // ---- learning ----
 
     private void learn(double now, Attempt a, AttemptEnd end) {
@@ -783,9 +771,9 @@
             double pace = Math.log(took / unit(a.job));
             v.logPace = mean(v.logPace, Double.isNaN(v.logPace) ? pace
                     : Math.min(pace, v.logPace + Math.log(SAMPLE_CAP)));
-            if (a.job.r.cost() > 0) { fleetPace = mean(fleetPace, Math.min(pace, Math.log(SAMPLE_CAP))); }
             readmit(n, "readmitted");
         }
+        if (!end.outcome().neverRan() && !n.ejected) { crowd(now, a, ok ? a.job.r.cost() : 0); }
         if (ok || cut && took > a.expected) {
             n.slow += GAIN * (Math.log(Math.min(SAMPLE_CAP, took / a.expected)) - n.slow);
             middleSlow += GAIN * Math.signum(n.slow - middleSlow) * GAIN; // a running median of engines
@@ -827,6 +815,12 @@
         }
     }
 
+    /** Of one that runs on and on, only the time until that was seen counts. */
+    private void crowd(double now, Attempt a, double work) {
+        double spent = a.overlong ? 0 : (now - a.sentAt) * a.job.c.threads();
+        if (a.job.r.cost() > 0) { crowding.add(now, spent, work); }
+    }
+
     private static void sign(double now, Node n) {
         n.lastSign = now;
         n.silent.clear();
@@ -861,7 +855,7 @@
 
     /** In a fleet that is much slowed, an answer that is too: one slow answer of a quick fleet is chance. */
     private boolean slow(Attempt a, double took) {
-        return fleetPace > Math.log(SLOWED_MUCH) && a.job.r.cost() > 0 && took > SLOWED_MUCH * unit(a.job);
+        return crowding.factor() > CROWDED && a.job.r.cost() > 0 && took > CROWDED * unit(a.job);
     }
 
     /** Threads a core that others have out if each has as much as we do for its part of the traffic. */
@@ -912,6 +906,8 @@
             v.cutoff = shape.size() < MIN_SAMPLES ? v.c.deadline()
                     : Math.min(v.c.deadline(), floor(v.c) * multiple);
             v.arrivals *= 1 - CUTOFF_S / RATE_S;
+            v.asked *= 1 - CUTOFF_S / RATE_S;
+            v.started *= 1 - CUTOFF_S / RATE_S;
         }
     }
 
@@ -937,7 +933,9 @@
         return sum;
     }
 
-    private double cutAfter(Job job) { return job.view.cutoff * stretch(job); }
+    private double cutAfter(Job job) {
+        return job.view.cutoff * stretch(job) * Math.max(1, crowding.factor() / CROWDED_USUAL);
+    }
 
     /** Past its cutoff, or foretold by its progress to pass it; never if it is nearly done. */
     private boolean outlives(double now, Attempt a) {
--- a/src/main/java/junipercourse/decision/State.java
+++ b/src/main/java/junipercourse/decision/State.java
@@ -107,7 +107,7 @@
         final ProductLimit tail;
         double logPace = Double.NaN, logUnit = Double.NaN, tryTook = Double.NaN, restartTook = Double.NaN;
         double work = Double.NaN;
-        double cutoff, arrivals, served = 1, logGrant;
+        double cutoff, arrivals, asked, started, logGrant;
 
         ClassView(QueryClass c, int samples, double logGrant) {
             this.c = c;
