--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -54,8 +54,7 @@
     private static final double HELD_PENALTY = 1.0; // threads a core, where a load holds the group
     private static final double GAIN = 0.08; // of a new sample in running means of logs
     private static final double WORD_GAIN = 0.1; // of a new report in the usual load of engines
-    private static final double FAIR = 3; // power of the part of a class that was started
-    private static final double FAIR_FEW = 2; // queries before any: a class may be met seldom
+    private static final double FAIR = 3, FAIR_FEW = 2; // power of the part of a class started; prior of it
     private static final double SAMPLE_CAP = 4; // most slowness one sample tells: it may be a bad plan
     private static final double SILENT_TIMES = 4; // expected latencies without a sign: it hangs
     private static final double SILENT_S = 1.5; // and at least this long
@@ -84,9 +83,9 @@
     private static final int HELD_LEAST = 4; // may always wait: room comes every few milliseconds
     private static final int MISSES = 12; // held requests without an engine that end a pass
     private static final double CORES_UNTOLD = 8; // for each unit of rating, where the kind tells none
-    private static final double CROWDED = 1.7; // thread seconds for one of work: more do less
-    private static final double CROWDED_USUAL = 1.5; // thread seconds for one of work in a fleet well used
+    private static final double CROWDED = 1.7, CROWDED_USUAL = 1.5; // thread seconds for one of work; prior
     private static final double CROWD_S = 3, CROWD_PRIOR = 2; // counted over; work before any
+    private static final double USUAL = 1; // threads a core of others, until engines tell: starts meet load
     private static final double TICK_S = 0.001; // shortest timer
 
     private final Settings settings;
@@ -105,7 +104,7 @@
     private final Peers peers = new Peers();
     private final Mix mix = new Mix();
     private final ColdBudget coldBudget;
-    private final Crowding crowding = new Crowding(CROWD_S, CROWD_PRIOR);
+    private final Crowding crowding = new Crowding(CROWD_S, CROWD_PRIOR, CROWDED_USUAL);
     private final ProductLimit shape = new ProductLimit(SAMPLES);
     private final ClassView[] classes;
     private final List<Bucket> shares;
@@ -113,8 +112,8 @@
     private final boolean anyLoads;
     private double startedAt = Double.NaN, nextSubscribe = Double.POSITIVE_INFINITY;
     private double wakeAt = Double.POSITIVE_INFINITY;
-    private double rate, rateAt, nextCutoffs, nextTell, probeCredit, middleSlow, usualOthers;
-    private double backCores, allCores, openThreads;
+    private double rate, rateAt, nextCutoffs, nextTell, probeCredit, middleSlow, usualOthers = USUAL;
+    private double backCores, allCores, warmCores, openThreads;
     private int ejectedNow, mostTaken = Integer.MAX_VALUE;
     private long order;
     private boolean dirty;
@@ -327,7 +326,8 @@
             a.overlong = true;
             a.node.overlong += job.c.threads();
         }
-        boolean due = a.first && outlives(now, a) || hangs(a);
+        boolean cut = a.first && !job.c.serialByKey() && outlives(now, a); // a restart holds up a whole line
+        boolean due = cut || hangs(a);
         if (due && settings.limits().cancel() && restartFits(now, a)) {
             cancel(a);
             job.restart = true;
@@ -409,8 +409,11 @@
     }
 
     private void pump(double now) {
-        openThreads = nodes.values().stream().filter(n -> rule3Listed(n) && !n.ejected)
-                .mapToDouble(n -> n.threads - n.overlong).sum(); // others load no engine that takes work
+        openThreads = warmCores = 0;
+        for (Node n : nodes.values()) {
+            openThreads += rule3Listed(n) && !n.ejected ? n.threads - n.overlong : 0; // who takes work
+            warmCores += rule3Listed(n) ? n.cores * warmth(now, n) : 0;
+        }
         if (held.isEmpty()) { return; }
         held.sort(Comparator.<Job>comparingDouble(j -> -j.rank).thenComparingLong(j -> j.seq));
         int misses = 0;
@@ -462,8 +465,8 @@
 
     /** First tries go front unless the back has more spare cores, or alone has room; restarts go back. */
     private Node choose(double now, Job job) {
-        if (!shareFits(job)) { return null; }
-        boolean seen = settings.gateways() == 1 || peersTell(); // else all would think the few back ones idle
+        if (!shareFits(job)) { return null; } // and all would take the few back engines for idle, if unheard
+        boolean seen = settings.gateways() == 1 || peersTell() || crowding.factor(0) > CROWDED;
         double[] least = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         double[] bestCost = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         Node[] best = new Node[2];
@@ -472,7 +475,7 @@
             if (usable(now, job, n)) {
                 double load = load(now, n);
                 boolean known = tier == 0 || job.restart || seen || cold(now, n) || now - n.wordAt < WORD_S;
-                least[tier] = known ? Math.min(least[tier], load) : least[tier];
+                least[tier] = known ? Math.min(least[tier], load * crowding.factor(tier)) : least[tier];
                 double cost = cost(job, n, load) + random.nextDouble() * NEAR;
                 if (cost < bestCost[tier] && hasRoom(now, job, n, job.restart)) {
                     bestCost[tier] = cost;
@@ -482,8 +485,7 @@
         }
         boolean toBack = job.restart ? least[1] < Double.POSITIVE_INFINITY : least[1] < least[0];
         Node chosen = best[toBack ? 1 : 0];
-        boolean stay = job.restart || !seen && crowding.factor() > CROWDED;
-        return chosen != null || stay ? chosen : best[toBack ? 0 : 1];
+        return chosen != null || job.restart || crowding.factor(1) > CROWDED ? chosen : best[toBack ? 0 : 1];
     }
 
     private double load(double now, Node n) {
@@ -545,7 +547,7 @@
         double strain = Math.max(STRAIN_MIN, Math.max(usualOthers / BOUND, Math.min(crowd, STRAIN_MOST)));
         double open = job.restart ? RESTART_ROOM : job.over ? OVER_PART : 1;
         double part = ownPart() * (1 + PART_SURE * ownPart()) * open;
-        double limit = part * allCores * BOUND / (strain * strain);
+        double limit = part * warmCores * BOUND / (strain * strain);
         return peersTell() || openThreads + job.c.threads() * job.dice <= limit;
     }
 
@@ -818,7 +820,7 @@
     /** Of one that runs on and on, only the time until that was seen counts. */
     private void crowd(double now, Attempt a, double work) {
         double spent = a.overlong ? 0 : (now - a.sentAt) * a.job.c.threads();
-        if (a.job.r.cost() > 0) { crowding.add(now, spent, work); }
+        if (a.job.r.cost() > 0) { crowding.add(now, a.node.back ? 1 : 0, spent, work); }
     }
 
     private static void sign(double now, Node n) {
@@ -905,9 +907,7 @@
         for (ClassView v : classes) {
             v.cutoff = shape.size() < MIN_SAMPLES ? v.c.deadline()
                     : Math.min(v.c.deadline(), floor(v.c) * multiple);
-            v.arrivals *= 1 - CUTOFF_S / RATE_S;
-            v.asked *= 1 - CUTOFF_S / RATE_S;
-            v.started *= 1 - CUTOFF_S / RATE_S;
+            v.fade(1 - CUTOFF_S / RATE_S);
         }
     }
 
--- a/src/main/java/junipercourse/decision/State.java
+++ b/src/main/java/junipercourse/decision/State.java
@@ -101,7 +101,7 @@
         }
     }
 
-    /** What is known of a class: its latency, its samples for the cutoff, how well it is served. */
+    /** What is known of a class: its latency, its samples for the cutoff, how much of it is started. */
     static final class ClassView {
         final QueryClass c;
         final ProductLimit tail;
@@ -115,6 +115,13 @@
             this.logGrant = logGrant;
             this.cutoff = c.deadline();
         }
+
+        /** What came a while ago counts for less. */
+        void fade(double part) {
+            arrivals *= part;
+            asked *= part;
+            started *= part;
+        }
     }
 
     /** Threads and memory of what is out, weighed by time: what runs long is met more often. */
