Test the back tier's fresh words, uncut classes in order and like parts of classes

Each of the three cases was seen to fail with its line broken (known = true; serialByKey taken out; no power of the started part), and to pass with it whole.

--- a/src/test/java/junipercourse/decision/DispatcherTest.java
+++ b/src/test/java/junipercourse/decision/DispatcherTest.java
@@ -78,6 +78,57 @@
         assertEquals(List.of(), f.take());
     }
 
+    /** A restart would hold up all that stand behind it in the line of their key. */
+    @Test
+    void classesInOrderAreNotCut() {
+        Fixture f = with(new QueryClass("s", Effect.BY_KEY, KeyScope.ALL, 5, true, 1, 0, 20, 1, 0.5, 1, false,
+                false, Set.of(), Set.of()));
+        teach(f, 0);
+        f.request(1, 0, f.now + 20, 5);
+        f.sentTo();
+        f.run(3);
+        assertEquals(List.of(), f.take());
+    }
+
+    /** Of many dispatchers none hears much of the few back engines: all together would jam them. */
+    @Test
+    void amongManyTheBackTierTakesFirstTriesOnAFreshWordOnly() {
+        Fixture f = new Fixture(Fixture.many(14, SAFE));
+        f.engines(4);
+        for (long e = 1; e <= 3; e++) {
+            f.module.probeDone(f.now, new DispatchApi.EngineId(e), Outcome.OK, 0, new float[] {7});
+        }
+        f.take();
+        f.request(1, 0, f.now + 10, 0);
+        assertTrue(f.sentTo() <= 3, "it is not known to be less loaded");
+        f.module.probeDone(f.now, new DispatchApi.EngineId(4), Outcome.OK, 0, new float[] {1});
+        f.request(2, 0, f.now + 10, 0);
+        assertEquals(4, f.sentTo());
+    }
+
+    /** A class that is met seldom is not left behind one that is worth more and met all the time. */
+    @Test
+    void aClassOfWhichLittleWasStartedGoesFirst() {
+        QueryClass poor = new QueryClass("p", Effect.REPEATABLE, KeyScope.ALL, 5, false, 1, 0, 10, 0.5, 0.5,
+                1, false, false, Set.of(), Set.of());
+        Fixture f = new Fixture(Fixture.settings(Fixture.GUARANTEES, false, SAFE, poor));
+        f.engines(1);
+        teach(f, 0);
+        for (int i = 0; i < 16; i++) {
+            f.request(i, 0, f.now + 10, 0);
+        }
+        f.take();
+        for (int i = 0; i < 5; i++) {
+            f.request(100 + i, 0, f.now + 10, 0);
+            f.request(200 + i, 1, f.now + 10, 0);
+        }
+        assertEquals(List.of(), f.take());
+        f.run(0.2);
+        f.end(0, 0, 1, Outcome.OK, true);
+        List<String> sent = f.take();
+        assertTrue(sent.stream().anyMatch(a -> a.startsWith("send 20")), sent.toString());
+    }
+
     @Test
     void progressThatForetellsAnOutliverCutsItEarlyAndSparesWhatIsNearlyDone() {
         Fixture f = with(SAFE);
