Send first tries to the back tier only on a fresh word or while the front alone jams

As soon as the front passed 1.7 (it stood at 1.7 to 2.0, which is little), stale words of the back counted again. Change: the back counts as seen only while the front is 1.7 times as crowded as the back. No new constant.

--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -326,8 +326,7 @@
             a.overlong = true;
             a.node.overlong += job.c.threads();
         }
-        boolean cut = a.first && !job.c.serialByKey() && outlives(now, a); // a restart holds up a whole line
-        boolean due = cut || hangs(a);
+        boolean due = a.first && !job.c.serialByKey() && outlives(now, a) || hangs(a); // no line is held up
         if (due && settings.limits().cancel() && restartFits(now, a)) {
             cancel(a);
             job.restart = true;
@@ -466,7 +465,8 @@
     /** First tries go front unless the back has more spare cores, or alone has room; restarts go back. */
     private Node choose(double now, Job job) {
         if (!shareFits(job)) { return null; } // and all would take the few back engines for idle, if unheard
-        boolean seen = settings.gateways() == 1 || peersTell() || crowding.factor(0) > CROWDED;
+        boolean jam = crowding.factor(0) > CROWDED * crowding.factor(1); // in front alone
+        boolean seen = settings.gateways() == 1 || peersTell() || jam;
         double[] least = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         double[] bestCost = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         Node[] best = new Node[2];
