--- a/src/main/java/junipercourse/cli/Signals.java
+++ b/src/main/java/junipercourse/cli/Signals.java
@@ -12,7 +12,10 @@
 final class Signals {
     private Signals() { }
 
-    /** From now on the signal runs the task, on a thread of the JVM's, in place of ending the program. */
+    /**
+     * From now on the signal runs the task on a thread of the JVM in place of ending the program. One that
+     * was ignored when the process started, as SIGHUP under {@code nohup}, stays so; that is logged.
+     */
     static void on(String signal, Runnable task) {
         InvocationHandler handler = (proxy, method, args) -> {
             if (method.getName().equals("handle")) {
@@ -27,8 +30,11 @@
             Class<?> handlerClass = Class.forName("sun.misc.SignalHandler");
             Object proxy = Proxy.newProxyInstance(Signals.class.getClassLoader(),
                     new Class<?>[] {handlerClass}, handler);
-            signalClass.getMethod("handle", signalClass, handlerClass)
+            Object before = signalClass.getMethod("handle", signalClass, handlerClass)
                     .invoke(null, signalClass.getConstructor(String.class).newInstance(signal), proxy);
+            if (before == handlerClass.getField("SIG_IGN").get(null)) {
+                Logger.warn("SIG{} was ignored when this process started, and stays so (nohup?)", signal);
+            }
         } catch (ReflectiveOperationException e) {
             Logger.error(e, "the signal {} cannot be handled on this JVM", signal);
         }
--- a/src/test/java/junipercourse/DispatcherProcess.java
+++ b/src/test/java/junipercourse/DispatcherProcess.java
@@ -16,13 +16,13 @@
 
     /** Starts it; {@code descriptors} is enforced by the system, as the platform does. */
     public DispatcherProcess(Path folder, int descriptors) throws IOException {
-        this(folder, descriptors, folder.resolve("config.json"));
+        this(folder, descriptors, folder.resolve("config.json"), "");
     }
 
-    /** The same with a configuration from elsewhere; {@code folder} holds its log. */
-    public DispatcherProcess(Path folder, int descriptors, Path config) throws IOException {
+    /** The same with a configuration from elsewhere, after a shell's command; the log is in the folder. */
+    public DispatcherProcess(Path folder, int descriptors, Path config, String first) throws IOException {
         log = folder.resolve("log");
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + descriptors
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", first + "ulimit -n " + descriptors
                 + " && exec '" + System.getProperty("java.home") + "/bin/java' -XX:-UsePerfData -Xmx48m"
                 + " -XX:+UseSerialGC -cp '" + System.getProperty("java.class.path")
                 + "' junipercourse.cli.Main serve");
--- a/src/test/java/junipercourse/cli/ProcessTest.java
+++ b/src/test/java/junipercourse/cli/ProcessTest.java
@@ -101,7 +101,7 @@
         process.signal("TERM"); // it goes on taking clients for 0.75 s, so that the next comes too early
         TestBench.await(() -> process.log().contains("asked to end"));
         Path other = Files.createDirectory(folder.resolve("next"));
-        try (DispatcherProcess next = new DispatcherProcess(other, 1024, config)) {
+        try (DispatcherProcess next = new DispatcherProcess(other, 1024, config, "")) {
             assertEquals(front.getPort(), next.address().getPort());
             try (TestBench.Client client = new TestBench.Client(front)) {
                 assertEquals("I", client.start().ask(" "));
@@ -109,6 +109,18 @@
         }
     }
 
+    /** Under nohup a JVM never hears of SIGHUP: that is told at the start, not found out when it matters. */
+    @Test
+    void aHangUpThatWasIgnoredFromTheStartIsTold() throws Exception {
+        process.address();
+        assertFalse(process.log().contains("SIGHUP was ignored"), process.log());
+        process.close();
+        Path config = folder.resolve("config.json");
+        process = new DispatcherProcess(folder, 1024, config, "trap '' HUP; ");
+        process.address();
+        assertTrue(process.log().contains("SIGHUP was ignored"), process.log());
+    }
+
     /** An address that is not this machine's is no port in use: it is named at once, with exit code 1. */
     @Test
     void anAddressOfAnotherMachineIsNotWaitedFor() throws Exception {
