Put the reason for the back tier's fresh words where it applies

Read again: the comment stood beside the share limit. Comments only; DispatcherTest, FleetTest and the style check pass.

--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -464,9 +464,9 @@
 
     /** First tries go front unless the back has more spare cores, or alone has room; restarts go back. */
     private Node choose(double now, Job job) {
-        if (!shareFits(job)) { return null; } // and all would take the few back engines for idle, if unheard
+        if (!shareFits(job)) { return null; }
         boolean jam = crowding.factor(0) > CROWDED * crowding.factor(1); // in front alone
-        boolean seen = settings.gateways() == 1 || peersTell() || jam;
+        boolean seen = settings.gateways() == 1 || peersTell() || jam; // else unheard ones look idle to all
         double[] least = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         double[] bestCost = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         Node[] best = new Node[2];
