Accept on the listening socket that the platform holds and hands down (RELAY_FD)

Change: RELAY_FD=0 takes the socket by System.inheritedChannel() and puts it behind XNIO's own server parts. A descriptor that is no listening socket at RELAY_LISTEN ends with exit code 2.

Ways weighed: XNIO's worker opens server sockets of its own only. A JDK channel on a thread of its own has no public way into the worker for what it accepts: it would need a second loop or a byte pump and one more wake-up a connection. Binding again beside it (SO_REUSEPORT) is another queue, which loses what waits in it. So one class stands in XNIO's package: same descriptors and wake-ups as before. It is never closed: the JDK leads standard error to /dev/null when an inherited channel closes.

--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -4,6 +4,7 @@
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,7 @@
 import junipercourse.liveness.StallLog;
 import junipercourse.log.BoundedConsoleWriter;
 import junipercourse.net.Descriptors;
+import junipercourse.net.InheritedSocket;
 import junipercourse.net.Loop;
 import junipercourse.pg.PgFront;
 import junipercourse.roster.KnownEvents;
@@ -33,6 +35,8 @@
     private static final double STILL_COMING_S = 0.75;
     /** SIGKILL comes 0.7 s and the longest deadline after SIGTERM, of which it counts 3 s: we go before. */
     private static final double ALL_ANSWERED_S = 3.2;
+    private static final double REPLACED_MOST_S = 5;
+    private static final double REPLACED_MARGIN_S = 0.2;
     private static final double LAST_BYTES_S = 0.05;
     /** For a predecessor at our address to end; clients come 30 s after the start at the latest (DEPLOY). */
     private static final double LISTEN_PATIENCE_S = 25;
@@ -125,6 +129,9 @@
             started.get();
         } catch (ExecutionException e) {
             stop();
+            if (e.getCause() instanceof ConfigException fault) {
+                throw fault;
+            }
             throw new IOException(e.getCause().getMessage(), e.getCause());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -141,7 +148,11 @@
     private void listen(CompletableFuture<Void> started, double since) {
         double waited = loop.now() - since;
         try {
-            front.listen(config.listen());
+            if (config.listenOn() == null) {
+                front.listen(config.listen());
+            } else {
+                front.listen(inherited());
+            }
             loop.attend();
             if (waited >= LISTEN_AGAIN_S) {
                 Logger.info("{} was in use for {} ms", config.listen(), millis(waited));
@@ -162,6 +173,14 @@
         }
     }
 
+    private ServerSocketChannel inherited() {
+        try {
+            return InheritedSocket.take(config.listenOn(), config.listen());
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException("RELAY_FD", e.getMessage());
+        }
+    }
+
     /** Whether it is the port that is taken: on an address that is not ours, no port can be had. */
     private static boolean inUse(InetSocketAddress address, IOException failure) {
         if (!(failure instanceof BindException)) {
@@ -208,16 +227,30 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::finish, "finish"));
     }
 
+    /** Of a process that is replaced: SIGKILL comes 0.7 s and the longest deadline, 5 s at most, after SIGTERM. */
+    private double replacedAnsweredSeconds() {
+        double longest = config.settings().classes().stream().mapToDouble(c -> c.deadline()).max().orElse(0);
+        return Math.min(REPLACED_MOST_S, longest) + REPLACED_MARGIN_S;
+    }
+
     /** Goes on for as long as clients may still come, then until all are answered, which has its end, too. */
     private void finish() {
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
             Logger.info("asked to end; {} queries are open", gateway.open());
-            loop.after(STILL_COMING_S, () -> {
+            Runnable goOnUntilIdle = () -> {
                 front.end();
                 gateway.whenIdle(() -> loop.after(LAST_BYTES_S, done::countDown));
+            };
+            if (front.sharesSocket()) {
+                front.leaveToOthers(goOnUntilIdle);
+            } else {
+                loop.after(STILL_COMING_S, goOnUntilIdle);
+            }
+            loop.after(front.sharesSocket() ? replacedAnsweredSeconds() : ALL_ANSWERED_S, () -> {
+                goOnUntilIdle.run();
+                gateway.answerAll();
             });
-            loop.after(ALL_ANSWERED_S, gateway::answerAll);
         });
         try {
             done.await();
--- a/src/main/java/junipercourse/config/Config.java
+++ b/src/main/java/junipercourse/config/Config.java
@@ -21,12 +21,13 @@
  * All that a dispatcher is told at its start, read and checked in one place: the environment's
  * {@code RELAY_*} first, then the configuration file, then the defaults given here.
  *
+ * @param listenOn the descriptor that listens at {@code listen} already, or null where it is to be opened
  * @param bus where the event bus listens, or null without one
  * @param known the events of the bus up to the start, or null
  * @param zones the names of the zones, in the settings' order
  * @param idleSeconds after which engines close an idle connection
  */
-public record Config(String name, InetSocketAddress listen, long seed, Resources resources,
+public record Config(String name, InetSocketAddress listen, String listenOn, long seed, Resources resources,
         InetSocketAddress bus, JsonObject known, Settings settings, List<String> zones, double idleSeconds) {
     private static final int DEFAULT_MEMORY_MB = 192;
     private static final int DEFAULT_SOCKETS = 1024;
@@ -72,7 +73,8 @@
             throw new ConfigException("settings", "missing");
         }
         Map<String, String> pairs = SettingsText.flatten(settings.json());
-        return new Config(name, address(given ? "RELAY_LISTEN" : "listen", listen), seed(root),
+        return new Config(name, address(given ? "RELAY_LISTEN" : "listen", listen),
+                environment.get("RELAY_FD"), seed(root),
                 new Resources(limits.number("cores", 1, 0.01),
                         (int) limits.number("memory_mb", DEFAULT_MEMORY_MB, 1),
                         (int) limits.number("sockets", DEFAULT_SOCKETS, LEAST_SOCKETS)),
--- a/src/main/java/junipercourse/net/Loop.java
+++ b/src/main/java/junipercourse/net/Loop.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,6 +28,7 @@
 import org.xnio.channels.AcceptingChannel;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
+import org.xnio.nio.ExistingTcpServer;
 
 /**
  * The one I/O thread, which owns all state of the program, and the deadlines that hang on it. Everything
@@ -421,7 +423,24 @@
      */
     public AcceptingChannel<StreamConnection> listen(InetSocketAddress address, int most,
             Consumer<StreamConnection> accepted) throws IOException {
-        ChannelListener<AcceptingChannel<StreamConnection>> onAccept = server -> {
+        return accepting(worker.createStreamConnectionServer(address, onAccept(accepted),
+                OptionMap.builder().addAll(accepts(most)).set(Options.BACKLOG, BACKLOG)
+                        .set(Options.REUSE_ADDRESSES, true).getMap()));
+    }
+
+    /** The same on a socket that listens already. */
+    public AcceptingChannel<StreamConnection> listen(ServerSocketChannel socket, int most,
+            Consumer<StreamConnection> accepted) throws IOException {
+        return accepting(ExistingTcpServer.on(worker, socket, onAccept(accepted), accepts(most)));
+    }
+
+    private static OptionMap accepts(int most) {
+        return OptionMap.builder().set(Options.CONNECTION_HIGH_WATER, most)
+                .set(Options.CONNECTION_LOW_WATER, most).set(Options.TCP_NODELAY, true).getMap();
+    }
+
+    private ChannelListener<AcceptingChannel<StreamConnection>> onAccept(Consumer<StreamConnection> accepted) {
+        return server -> {
             enter();
             try {
                 for (StreamConnection c = server.accept(); c != null; c = server.accept()) {
@@ -433,11 +452,9 @@
                 Logger.warn("accept failed: {}", e.getMessage());
             }
         };
-        AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(address, onAccept,
-                OptionMap.builder().set(Options.BACKLOG, BACKLOG).set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.CONNECTION_HIGH_WATER, most)
-                        .set(Options.CONNECTION_LOW_WATER, most)
-                        .set(Options.TCP_NODELAY, true).getMap());
+    }
+
+    private AcceptingChannel<StreamConnection> accepting(AcceptingChannel<StreamConnection> server) {
         listening.add(server.getLocalAddress(InetSocketAddress.class));
         server.resumeAccepts();
         return server;
--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Comparator;
 import java.util.SplittableRandom;
 import java.util.function.ToDoubleFunction;
@@ -39,6 +40,8 @@
     private final Shows shows;
     private final Slots<Session> sessions = new Slots<>();
     private AcceptingChannel<StreamConnection> server;
+    private boolean sharesSocket;
+    private Runnable whenEmpty;
     private boolean ending;
     private final long mostInput;
     private long input;
@@ -68,6 +71,30 @@
         loop.after(LOOK_S, this::lookAround);
     }
 
+    /** Listens on a socket that others accept from, too. */
+    public void listen(ServerSocketChannel shared) throws IOException {
+        server = loop.listen(shared, mostClients, this::accepted);
+        sharesSocket = true;
+        loop.after(LOOK_S, this::lookAround);
+    }
+
+    /** Whether other processes accept from the same socket. */
+    public boolean sharesSocket() {
+        return sharesSocket;
+    }
+
+    /**
+     * Leaves all newcomers to the other processes that accept from the socket: what waits in the kernel's queue
+     * is theirs, what was accepted is ours. Clients of ours that rest are sent to them, those that have not
+     * asked yet get their time to.
+     *
+     * @param empty runs once no client is left, which takes as long as their queries do
+     */
+    public void leaveToOthers(Runnable empty) {
+        server.suspendAccepts();
+        whenEmpty = empty;
+    }
+
     /** One look at all sessions in place of a deadline for each, which would keep those that have left. */
     private void lookAround() {
         double now = loop.attended();
@@ -75,9 +102,13 @@
             // Guards clients, which open no more than a third of the descriptors, against running out of
             // connections because some hold theirs for good: what is idle gives way in time.
             boolean crowded = sessions.size() > mostClients / 2;
-            s.expire(now, crowded ? IDLE_CROWDED_S : IDLE_MOST_S);
+            s.expire(now, whenEmpty != null ? CROSSING_S : crowded ? IDLE_CROWDED_S : IDLE_MOST_S);
+        }
+        if (whenEmpty != null && sessions.size() == 0) {
+            whenEmpty.run();
+        } else {
+            loop.after(LOOK_S, this::lookAround);
         }
-        loop.after(LOOK_S, this::lookAround);
     }
 
     /** The address it listens on. */
@@ -143,7 +174,9 @@
     /** From now on queries are refused: what is taken is still finished. */
     public void end() {
         ending = true;
-        IoUtils.safeClose(server);
+        if (!sharesSocket) { // see InheritedSocket: that one is not closed
+            IoUtils.safeClose(server);
+        }
     }
 
     boolean ending() {
