Split Gateway: answers, turns and the order of keys in files of their own

No behaviour changes; the tests of rules on sockets, recovery, the process and sessions pass unchanged.

--- /dev/null
+++ b/src/main/java/junipercourse/core/Answers.java
@@ -0,0 +1,110 @@
+package junipercourse.core;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import junipercourse.core.Counters.Count;
+import junipercourse.net.Loop;
+
+/** The queries in hand and the one final answer that each gets: each is counted where it is given. */
+final class Answers {
+    private final Loop loop;
+    private final Counters counters;
+    private final Slots<Exchange> exchanges = new Slots<>();
+    private final Set<String> openIds = new HashSet<>();
+    private int open;
+    private Runnable whenIdle;
+
+    Answers(Loop loop, Counters counters) {
+        this.loop = loop;
+        this.counters = counters;
+    }
+
+    /** Takes a query in hand; null if one of its id is open or still out. */
+    Exchange take(Query query, Reply reply) {
+        if (!openIds.add(openId(query))) {
+            counters.add(Count.QUERIES_DOUBLED);
+            return null;
+        }
+        counters.add(Count.QUERIES_TAKEN);
+        Exchange x = new Exchange(query, reply);
+        x.id = exchanges.add(x);
+        open++;
+        return x;
+    }
+
+    /** The query in hand of that id, or null. */
+    Exchange find(long id) {
+        return exchanges.get(id);
+    }
+
+    List<Exchange> all() {
+        return exchanges.all();
+    }
+
+    /** Queries without a final answer. */
+    int open() {
+        return open;
+    }
+
+    void served(Exchange x, List<byte[]> pages) {
+        counters.add(Count.QUERIES_SERVED);
+        x.reply.served(pages);
+        answered(x);
+    }
+
+    /** Trying again is harmless, best after so many seconds. */
+    void refused(Exchange x, double coolDown, String why) {
+        counters.add(Count.QUERIES_REFUSED);
+        x.reply.refused(coolDown, why);
+        answered(x);
+    }
+
+    void failed(Exchange x, String why) {
+        counters.add(Count.QUERIES_FAILED);
+        x.reply.failed(why);
+        answered(x);
+    }
+
+    /** Its client has left: no answer is owed. */
+    void left(Exchange x) {
+        counters.add(Count.CLIENTS_LEFT);
+        answered(x);
+    }
+
+    /** The one place where a query's answer is given or its client is given up. */
+    private void answered(Exchange x) {
+        x.answered = true;
+        open--;
+        loop.cancel(x.lastMoment);
+        x.lastMoment = null;
+        release(x);
+        checkIdle();
+    }
+
+    /** The one place where a query's slot and its id are given back. */
+    void release(Exchange x) {
+        if (x.answered && x.out == null && exchanges.get(x.id) == x) {
+            openIds.remove(openId(x.query));
+            exchanges.remove(x.id);
+        }
+    }
+
+    private static String openId(Query query) {
+        return query.id().toLowerCase(Locale.ROOT);
+    }
+
+    /** Runs a task once no query is open; {@link #checkIdle} looks. */
+    void whenIdle(Runnable task) {
+        whenIdle = task;
+    }
+
+    void checkIdle() {
+        if (open == 0 && whenIdle != null) {
+            Runnable task = whenIdle;
+            whenIdle = null;
+            task.run();
+        }
+    }
+}
