Answer staff at a second address; take engines out by hand, across processes

Figures are counted where they happen: an outcome with the answer, an attempt when its POST is written whole. Engines taken out: one empty file each in a folder of $TMPDIR. Not taken: one JSON file, which two processes beside each other would overwrite and which can be damaged; a file that is there cannot. The module just sees a draining stage; put back, an engine counts as started then (it may be cold, which no list needs to tell) and is readmitted. Without 'admin' none of it is loaded. Config, Server: parts moved to Ending, Tables.

--- /dev/null
+++ b/src/main/java/junipercourse/cli/Ending.java
@@ -0,0 +1,62 @@
+package junipercourse.cli;
+
+import java.util.concurrent.CountDownLatch;
+import junipercourse.core.Gateway;
+import junipercourse.decision.DispatchApi.QueryClass;
+import junipercourse.decision.DispatchApi.Settings;
+import junipercourse.net.Loop;
+import junipercourse.pg.PgFront;
+import org.tinylog.Logger;
+
+/** The end in good order: goes on for as long as clients may still come, then until all are answered. */
+final class Ending {
+    /** New connections keep coming for 0.4 s after a planned restart begins, and their queries after that. */
+    private static final double STILL_COMING_S = 0.75;
+    /** SIGKILL comes 0.7 s and the longest deadline after SIGTERM, of which it counts 3 s: we go before. */
+    private static final double ALL_ANSWERED_S = 3.2;
+    /** Of a process that is replaced, it counts 5 s (DAYS); we go half a second before it. */
+    private static final double REPLACED_MOST_S = 5;
+    private static final double REPLACED_MARGIN_S = 0.2;
+    private static final double LAST_BYTES_S = 0.05;
+
+    private final Loop loop;
+    private final Gateway gateway;
+    private final PgFront front;
+    private final double answeredAfter;
+    private final CountDownLatch done = new CountDownLatch(1);
+
+    Ending(Loop loop, Gateway gateway, PgFront front, Settings settings) {
+        this.loop = loop;
+        this.gateway = gateway;
+        this.front = front;
+        double longest = settings.classes().stream().mapToDouble(QueryClass::deadline).max().orElse(0);
+        answeredAfter = front.sharesSocket() ? Math.min(REPLACED_MOST_S, longest) + REPLACED_MARGIN_S
+                : ALL_ANSWERED_S;
+    }
+
+    /** Returns once nothing is owed to anybody any more, or no time is left. */
+    void run() {
+        loop.execute(() -> {
+            Logger.info("asked to end; {} queries are open", gateway.open());
+            if (front.sharesSocket()) { // those who come are the other processes'
+                front.leaveToOthers(this::untilIdle);
+            } else {
+                loop.after(STILL_COMING_S, this::untilIdle);
+            }
+            loop.after(answeredAfter, () -> {
+                untilIdle();
+                gateway.answerAll();
+            });
+        });
+        try {
+            done.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void untilIdle() {
+        front.end();
+        gateway.whenIdle(() -> loop.after(LAST_BYTES_S, done::countDown));
+    }
+}
--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -5,11 +5,10 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.channels.ServerSocketChannel;
-import java.time.Instant;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import junipercourse.config.Config;
 import junipercourse.config.ConfigException;
@@ -19,7 +18,6 @@
 import junipercourse.core.Shows;
 import junipercourse.decision.DispatchApi.Kind;
 import junipercourse.engine.EngineClient;
-import junipercourse.liveness.StallLog;
 import junipercourse.log.BoundedConsoleWriter;
 import junipercourse.net.Descriptors;
 import junipercourse.net.InheritedSocket;
@@ -31,18 +29,13 @@
 
 /** One dispatcher, put together from its parts, from its start to its end. */
 final class Server {
-    /** New connections keep coming for 0.4 s after a planned restart begins, and their queries after that. */
-    private static final double STILL_COMING_S = 0.75;
-    /** SIGKILL comes 0.7 s and the longest deadline after SIGTERM, of which it counts 3 s: we go before. */
-    private static final double ALL_ANSWERED_S = 3.2;
-    private static final double REPLACED_MOST_S = 5;
-    private static final double REPLACED_MARGIN_S = 0.2;
-    private static final double LAST_BYTES_S = 0.05;
     /** For a predecessor at our address to end; clients come 30 s after the start at the latest (DEPLOY). */
     private static final double LISTEN_PATIENCE_S = 25;
     private static final double LISTEN_AGAIN_S = 0.1;
     /** Descriptors of the JVM itself, the bus and connections on their way out: about 16 were counted. */
     private static final int OWN_SOCKETS = 28;
+    /** Of those that come with a second address: its selectors, its listening socket, the folder's. */
+    private static final int STAFF_SOCKETS = 10;
     /** Connections to engines that are closed but still count, and beyond which they are waited for. */
     private static final int CLOSING = 8;
     /** Of the others: clients open a third of all descriptors at most, and some only hold theirs. */
@@ -62,11 +55,14 @@
     private final Gateway gateway;
     private final PgFront front;
     private final RosterClient roster;
+    private final Staff staff; // null without a second address: then nothing of it is loaded
 
     Server(Config config) throws IOException {
         this.config = config;
         loop = new Loop(() -> counters.add(Count.INTERNAL_ERRORS), Server::die);
-        descriptors = new Descriptors(config.resources().sockets(), OWN_SOCKETS);
+        boolean administered = config.admin() != null;
+        descriptors = new Descriptors(config.resources().sockets(),
+                OWN_SOCKETS + (administered ? STAFF_SOCKETS + Staff.connections(config) : 0));
         int toEngines = (int) (descriptors.free() * ENGINE_PART);
         Descriptors.Share engineShare = descriptors.share("engines", toEngines - CLOSING, CLOSING);
         Descriptors.Share clientShare = descriptors.share("clients", descriptors.free(), 0);
@@ -74,44 +70,18 @@
                 engineShare, counters);
         gateway = new Gateway(loop, config.settings(), config.seed(),
                 (int) (config.resources().sockets() * TAKEN_PART), engines, counters);
-        Shows shows = new Shows();
-        counters.showIn(shows);
-        shows.add("stalls", this::stalls, "figure", "value", "unit");
-        shows.add("descriptors", this::descriptors, "share", "figure", "count");
+        Shows shows = Tables.of(loop, counters, descriptors);
         front = new PgFront(loop, config.settings(), gateway, clientShare,
                 (long) config.resources().memoryMb() * MEGABYTE / INPUT_PART, config.seed(), counters, shows);
         roster = new RosterClient(loop, config.bus(), config.known(), config.zones(),
                 config.settings().kinds().stream().map(Kind::name).toList(), gateway::roster, counters);
+        staff = administered ? new Staff(loop, gateway, config, folder(config)) : null;
     }
 
-    private void stalls(Shows.Rows rows) {
-        StallLog log = loop.stallLog();
-        rows.add("stalls", log.stalls(), "count")
-                .add("longest", millis(log.longest()), "ms")
-                .add("last", millis(log.lastLength()), "ms")
-                .add("last_at", log.stalls() == 0 ? "never" : Instant.ofEpochMilli(millis(log.lastAt())),
-                        "utc")
-                .add("total", millis(log.total()), "ms")
-                .add("longest_catch_up", millis(log.longestCatchUp()), "ms")
-                .add("clock_steps", log.steps(), "count")
-                .add("last_clock_step", millis(log.lastStep()), "ms")
-                .add("attempts_reexamined", counters.get(Count.STALLS_REEXAMINED), "count")
-                .add("attempts_left_alone", counters.get(Count.ATTEMPTS_LEFT_ALONE), "count")
-                .add("queries_unordered", counters.get(Count.QUERIES_UNORDERED), "count")
-                .add("log_lines_dropped", BoundedConsoleWriter.dropped(), "count");
-    }
-
-    private static long millis(double seconds) {
-        return Math.round(seconds * 1e3);
-    }
-
-    private void descriptors(Shows.Rows rows) {
-        rows.add("all", "limit", descriptors.limit()).add("own", "kept", descriptors.own());
-        for (Descriptors.Share s : descriptors.shares()) {
-            rows.add(s.name(), "most", s.most()).add(s.name(), "open", s.open())
-                    .add(s.name(), "closing", s.closingNow()).add(s.name(), "peak", s.peak())
-                    .add(s.name(), "turned_down", s.turnedDown());
-        }
+    /** For what outlives a process: {@code $TMPDIR} is private to a dispatcher, or else its name tells them apart. */
+    private static Path folder(Config config) {
+        String tmp = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
+        return Path.of(tmp, "junipercourse-out-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
     }
 
     /**
@@ -154,8 +124,11 @@
                 front.listen(inherited());
             }
             loop.attend();
+            if (staff != null) {
+                staff.listening();
+            }
             if (waited >= LISTEN_AGAIN_S) {
-                Logger.info("{} was in use for {} ms", config.listen(), millis(waited));
+                Logger.info("{} was in use for {} ms", config.listen(), Math.round(waited * 1e3));
             }
             started.complete(null);
         } catch (IOException e) {
@@ -166,7 +139,7 @@
                 loop.after(LISTEN_AGAIN_S, () -> listen(started, since));
             } else {
                 started.completeExceptionally(new IOException("cannot listen on " + config.listen() + ": "
-                        + e.getMessage() + "; waited " + millis(waited) + " ms"));
+                        + e.getMessage() + "; waited " + Math.round(waited * 1e3) + " ms"));
             }
         } catch (RuntimeException e) {
             started.completeExceptionally(e);
@@ -224,41 +197,15 @@
 
     /** From now on SIGTERM ends the program in good order. */
     void finishOnShutdown() {
-        Runtime.getRuntime().addShutdownHook(new Thread(this::finish, "finish"));
-    }
-
-    /** Of a process that is replaced: SIGKILL comes 0.7 s and the longest deadline, 5 s at most, after SIGTERM. */
-    private double replacedAnsweredSeconds() {
-        double longest = config.settings().classes().stream().mapToDouble(c -> c.deadline()).max().orElse(0);
-        return Math.min(REPLACED_MOST_S, longest) + REPLACED_MARGIN_S;
-    }
-
-    /** Goes on for as long as clients may still come, then until all are answered, which has its end, too. */
-    private void finish() {
-        CountDownLatch done = new CountDownLatch(1);
-        loop.execute(() -> {
-            Logger.info("asked to end; {} queries are open", gateway.open());
-            Runnable goOnUntilIdle = () -> {
-                front.end();
-                gateway.whenIdle(() -> loop.after(LAST_BYTES_S, done::countDown));
-            };
-            if (front.sharesSocket()) {
-                front.leaveToOthers(goOnUntilIdle);
-            } else {
-                loop.after(STILL_COMING_S, goOnUntilIdle);
+        Ending ending = new Ending(loop, gateway, front, config.settings());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (staff != null) {
+                staff.ending();
             }
-            loop.after(front.sharesSocket() ? replacedAnsweredSeconds() : ALL_ANSWERED_S, () -> {
-                goOnUntilIdle.run();
-                gateway.answerAll();
-            });
-        });
-        try {
-            done.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        Logger.info("{} ends: {}", config.name(), counters);
-        BoundedConsoleWriter.end();
+            ending.run();
+            Logger.info("{} ends: {}", config.name(), counters);
+            BoundedConsoleWriter.end();
+        }, "finish"));
     }
 
     /**
@@ -275,6 +222,9 @@
     }
 
     void stop() {
+        if (staff != null) {
+            staff.close();
+        }
         loop.stop();
     }
 }
--- /dev/null
+++ b/src/main/java/junipercourse/cli/Tables.java
@@ -0,0 +1,63 @@
+package junipercourse.cli;
+
+import java.time.Instant;
+import junipercourse.core.Counters;
+import junipercourse.core.Counters.Count;
+import junipercourse.core.Shows;
+import junipercourse.liveness.StallLog;
+import junipercourse.log.BoundedConsoleWriter;
+import junipercourse.net.Descriptors;
+import junipercourse.net.Loop;
+
+/** What {@code SHOW} tells of the process itself. */
+final class Tables {
+    private final Loop loop;
+    private final Counters counters;
+    private final Descriptors descriptors;
+
+    private Tables(Loop loop, Counters counters, Descriptors descriptors) {
+        this.loop = loop;
+        this.counters = counters;
+        this.descriptors = descriptors;
+    }
+
+    /** All tables of the process. */
+    static Shows of(Loop loop, Counters counters, Descriptors descriptors) {
+        Shows shows = new Shows();
+        Tables tables = new Tables(loop, counters, descriptors);
+        counters.showIn(shows);
+        shows.add("stalls", tables::stalls, "figure", "value", "unit");
+        shows.add("descriptors", tables::descriptors, "share", "figure", "count");
+        return shows;
+    }
+
+    private void stalls(Shows.Rows rows) {
+        StallLog log = loop.stallLog();
+        rows.add("stalls", log.stalls(), "count")
+                .add("longest", millis(log.longest()), "ms")
+                .add("last", millis(log.lastLength()), "ms")
+                .add("last_at", log.stalls() == 0 ? "never" : Instant.ofEpochMilli(millis(log.lastAt())),
+                        "utc")
+                .add("total", millis(log.total()), "ms")
+                .add("longest_catch_up", millis(log.longestCatchUp()), "ms")
+                .add("clock_steps", log.steps(), "count")
+                .add("last_clock_step", millis(log.lastStep()), "ms")
+                .add("attempts_reexamined", counters.get(Count.STALLS_REEXAMINED), "count")
+                .add("attempts_left_alone", counters.get(Count.ATTEMPTS_LEFT_ALONE), "count")
+                .add("queries_unordered", counters.get(Count.QUERIES_UNORDERED), "count")
+                .add("log_lines_dropped", BoundedConsoleWriter.dropped(), "count");
+    }
+
+    private static long millis(double seconds) {
+        return Math.round(seconds * 1e3);
+    }
+
+    private void descriptors(Shows.Rows rows) {
+        rows.add("all", "limit", descriptors.limit()).add("own", "kept", descriptors.own());
+        for (Descriptors.Share s : descriptors.shares()) {
+            rows.add(s.name(), "most", s.most()).add(s.name(), "open", s.open())
+                    .add(s.name(), "closing", s.closingNow()).add(s.name(), "peak", s.peak())
+                    .add(s.name(), "turned_down", s.turnedDown());
+        }
+    }
+}
--- a/src/main/java/junipercourse/config/Config.java
+++ b/src/main/java/junipercourse/config/Config.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import junipercourse.decision.DispatchApi.Settings;
 
 /**
@@ -22,13 +23,15 @@
  * {@code RELAY_*} first, then the configuration file, then the defaults given here.
  *
  * @param listenOn the descriptor that listens at {@code listen} already, or null where it is to be opened
+ * @param admin the second address, for operators' staff, or null without one
  * @param bus where the event bus listens, or null without one
  * @param known the events of the bus up to the start, or null
  * @param zones the names of the zones, in the settings' order
  * @param idleSeconds after which engines close an idle connection
  */
-public record Config(String name, InetSocketAddress listen, String listenOn, long seed, Resources resources,
-        InetSocketAddress bus, JsonObject known, Settings settings, List<String> zones, double idleSeconds) {
+public record Config(String name, InetSocketAddress listen, String listenOn, InetSocketAddress admin,
+        long seed, Resources resources, InetSocketAddress bus, JsonObject known, Settings settings,
+        List<String> zones, double idleSeconds) {
     private static final int DEFAULT_MEMORY_MB = 192;
     private static final int DEFAULT_SOCKETS = 1024;
     private static final int LEAST_SOCKETS = 64;
@@ -74,7 +77,7 @@
         }
         Map<String, String> pairs = SettingsText.flatten(settings.json());
         return new Config(name, address(given ? "RELAY_LISTEN" : "listen", listen),
-                environment.get("RELAY_FD"), seed(root),
+                environment.get("RELAY_FD"), admin(root, environment), seed(root),
                 new Resources(limits.number("cores", 1, 0.01),
                         (int) limits.number("memory_mb", DEFAULT_MEMORY_MB, 1),
                         (int) limits.number("sockets", DEFAULT_SOCKETS, LEAST_SOCKETS)),
@@ -92,6 +95,9 @@
         if (!listen.equals(before.listen)) {
             changed.add("listen");
         }
+        if (!Objects.equals(admin, before.admin)) {
+            changed.add("admin");
+        }
         if (!resources.equals(before.resources)) {
             changed.add("limits");
         }
@@ -102,6 +108,12 @@
         return changed;
     }
 
+    private static InetSocketAddress admin(Section root, Map<String, String> environment) {
+        boolean given = environment.containsKey("RELAY_ADMIN");
+        String text = given ? environment.get("RELAY_ADMIN") : root.text("admin", null);
+        return text == null ? null : address(given ? "RELAY_ADMIN" : "admin", text);
+    }
+
     private static long seed(Section root) {
         String text = root.text("seed", null);
         if (text == null) {
--- a/src/main/java/junipercourse/core/Answers.java
+++ b/src/main/java/junipercourse/core/Answers.java
@@ -11,13 +11,15 @@
 final class Answers {
     private final Loop loop;
     private final Counters counters;
+    private final ClassFigures figures;
     private final Slots<Exchange> exchanges = new Slots<>();
     private final Set<String> openIds = new HashSet<>();
     private int open;
     private Runnable whenIdle;
 
-    Answers(Loop loop, Counters counters) {
+    Answers(Loop loop, Counters counters, ClassFigures figures) {
         this.loop = loop;
+        this.figures = figures;
         this.counters = counters;
     }
 
@@ -50,6 +52,7 @@
 
     void served(Exchange x, List<byte[]> pages) {
         counters.add(Count.QUERIES_SERVED);
+        figures.passed(x.query.queryClass());
         x.reply.served(pages);
         answered(x);
     }
@@ -57,12 +60,14 @@
     /** Trying again is harmless, best after so many seconds. */
     void refused(Exchange x, double coolDown, String why) {
         counters.add(Count.QUERIES_REFUSED);
+        figures.dropped(x.query.queryClass());
         x.reply.refused(coolDown, why);
         answered(x);
     }
 
     void failed(Exchange x, String why) {
         counters.add(Count.QUERIES_FAILED);
+        figures.failed(x.query.queryClass());
         x.reply.failed(why);
         answered(x);
     }
--- a/src/main/java/junipercourse/core/Backend.java
+++ b/src/main/java/junipercourse/core/Backend.java
@@ -41,5 +41,8 @@
     /** Is told an attempt's end. */
     interface Ending {
         void ended(End end);
+
+        /** The attempt's request has been written whole to its engine; told once at most, before its end. */
+        default void written() { }
     }
 }
--- /dev/null
+++ b/src/main/java/junipercourse/core/EngineList.java
@@ -0,0 +1,95 @@
+package junipercourse.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import junipercourse.core.Backend.Member;
+import junipercourse.decision.DispatchApi.Engine;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.RosterKind;
+import junipercourse.decision.DispatchApi.Stage;
+
+/**
+ * The engines as the event bus lists them, and those that the staff have taken out by hand (DAYS, maintenance of
+ * engines). Whatever the bus says, the module and the connections are told that an engine taken out is draining,
+ * until the hand that puts it back. The list is the bus's, and so is its length.
+ */
+final class EngineList {
+    private final Map<EngineId, Member> listed = new HashMap<>();
+    private final Set<EngineId> out = new HashSet<>();
+    /** When an engine was put back, in Unix seconds: it may have been restarted, which no list needs to tell. */
+    private final Map<EngineId, Double> putBack = new HashMap<>();
+    private boolean told;
+
+    /** Takes news in and gives them back as they are to be acted on. */
+    List<Member> news(RosterKind kind, List<Member> members) {
+        told |= kind != RosterKind.FAILED;
+        if (kind == RosterKind.FULL || kind == RosterKind.CACHED) {
+            listed.clear();
+        }
+        List<Member> acted = new ArrayList<>();
+        for (Member m : members) {
+            if (m.engine().stage() == Stage.GONE) {
+                listed.remove(m.engine().id());
+            } else {
+                listed.put(m.engine().id(), m);
+            }
+            acted.add(asActedOn(m));
+        }
+        putBack.keySet().retainAll(listed.keySet());
+        return acted;
+    }
+
+    /**
+     * Takes on which engines are out now.
+     *
+     * @param now Unix time in seconds
+     * @return the listed engines for which that is news, as they are to be acted on
+     */
+    List<Member> out(Set<EngineId> nowOut, double now) {
+        Set<EngineId> changed = new HashSet<>(out);
+        changed.addAll(nowOut);
+        changed.removeIf(id -> out.contains(id) == nowOut.contains(id));
+        out.clear();
+        out.addAll(nowOut);
+        List<Member> acted = new ArrayList<>();
+        for (EngineId id : changed) {
+            Member m = listed.get(id);
+            if (m != null) {
+                if (!out.contains(id)) {
+                    putBack.put(id, now);
+                }
+                acted.add(asActedOn(m));
+            }
+        }
+        return acted;
+    }
+
+    private Member asActedOn(Member m) {
+        Engine e = m.engine();
+        boolean held = e.stage() == Stage.READY && out.contains(e.id());
+        double started = Math.max(e.startedAt(), putBack.getOrDefault(e.id(), 0.0));
+        return !held && started == e.startedAt() ? m : new Member(new Engine(e.id(), e.zone(), e.kind(),
+                e.cell(), held ? Stage.DRAINING : e.stage(), e.rating(), started), m.address());
+    }
+
+    /** Whether any list has come. */
+    boolean told() {
+        return told;
+    }
+
+    Set<EngineId> ids() {
+        return Set.copyOf(listed.keySet());
+    }
+
+    /** The listed engines that get nothing new: those taken out by hand and those of the set. */
+    int skipped(Set<EngineId> byChoice) {
+        Set<EngineId> all = new HashSet<>(byChoice);
+        all.addAll(out);
+        all.retainAll(listed.keySet());
+        return all.size();
+    }
+}
--- a/src/main/java/junipercourse/core/Gateway.java
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -1,6 +1,7 @@
 package junipercourse.core;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.DoubleConsumer;
 import junipercourse.core.Backend.End;
 import junipercourse.core.Backend.Member;
@@ -38,6 +39,8 @@
     private final Backend backend;
     private final Counters counters;
     private final Dispatcher module;
+    private final ClassFigures figures;
+    private final EngineList engines = new EngineList();
     private final Answers answers;
     private final KeyAdmission keys;
     private final Turns turns;
@@ -49,7 +52,8 @@
         this.settings = settings;
         this.backend = backend;
         this.counters = counters;
-        this.answers = new Answers(loop, counters);
+        this.figures = new ClassFigures(settings.classes().size());
+        this.answers = new Answers(loop, counters, figures);
         this.module = new Dispatcher(settings, seed, this);
         module.takeAtMost(mostTaken);
         this.keys = new KeyAdmission(loop, this::event, this::tellOrFail, (x, now) -> unordered(x));
@@ -135,6 +139,18 @@
     /** News of the engine list; the back end knows of it before anything more is sent. */
     public void roster(RosterKind kind, List<Member> members) {
         counters.add(Count.ROSTER_EVENTS);
+        tellOfEngines(kind, engines.news(kind, members));
+    }
+
+    /** Which engines the staff have taken out by hand: they are draining here, whatever the list says. */
+    public void takenOut(Set<EngineId> ids) {
+        List<Member> changed = engines.out(ids, loop.now());
+        if (!changed.isEmpty()) {
+            tellOfEngines(RosterKind.DELTA, changed);
+        }
+    }
+
+    private void tellOfEngines(RosterKind kind, List<Member> members) {
         backend.roster(kind, members);
         event(now -> module.roster(now, kind, members.stream().map(m -> onLoopTime(m.engine())).toList()));
     }
@@ -145,6 +161,26 @@
                 e.rating(), loop.fromUnix(e.startedAt()));
     }
 
+    /** The engines in the list; none before the first list has come. */
+    public Set<EngineId> engines() {
+        return engines.ids();
+    }
+
+    /** Whether a list of engines has come, be it an empty one. */
+    public boolean knowsEngines() {
+        return engines.told();
+    }
+
+    /** How many listed engines get nothing new, whether by hand or by the module's choice. */
+    public int skippedEngines() {
+        return engines.skipped(Set.copyOf(module.leftOut()));
+    }
+
+    /** What was answered and tried, by class. */
+    public ClassFigures figures() {
+        return figures;
+    }
+
     /** Queries without a final answer. */
     public int open() {
         return answers.open();
@@ -225,7 +261,17 @@
         int attempt = x.attempts++;
         counters.add(Count.ATTEMPTS_SENT);
         double until = giveUpAfter > 0 ? Math.min(now + giveUpAfter, x.query.notAfter()) : x.query.notAfter();
-        x.out = backend.start(engine, x.query, until, end -> ended(x, engine, attempt, now, end));
+        x.out = backend.start(engine, x.query, until, new Backend.Ending() {
+            @Override
+            public void ended(End end) {
+                Gateway.this.ended(x, engine, attempt, now, end);
+            }
+
+            @Override
+            public void written() {
+                figures.tried(x.query.queryClass());
+            }
+        });
         x.attemptTimeout = loop.at(until, () -> x.out.giveUp(Outcome.TIMEOUT));
     }
 
--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -1,10 +1,6 @@
 package junipercourse.decision;
 
-import junipercourse.decision.State.Node;
-import junipercourse.decision.State.Job;
-import junipercourse.decision.State.Mix;
-import junipercourse.decision.State.ClassView;
-import junipercourse.decision.State.Attempt;
+import junipercourse.decision.State.*;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -137,6 +133,9 @@
      */
     public void takeAtMost(int queries) { mostTaken = queries; }
 
+    /** The engines that are left out for now, by its own choice. */
+    public List<EngineId> leftOut() { return nodes.values().stream().filter(n -> n.ejected).map(n -> n.id).toList(); }
+
     // ---- events: they are only taken in here; settle judges and sends once all of a moment are told,
     // so that a gateway that had no turn for a while does not take its own silence for the engines' ----
 
@@ -149,6 +148,7 @@
         if (kind != RosterKind.DELTA) { nodes.values().forEach(n -> n.entry = null); }
         for (Engine e : entries) {
             Node n = nodes.computeIfAbsent(e.id(), Node::new);
+            if (n.entry != null && !rule3Listed(n) && e.stage() == Stage.READY) { readmit(n, "put back"); }
             n.entry = e.stage() == Stage.GONE ? null : e;
             Kind k = e.kind() < settings.kinds().size() ? settings.kinds().get(e.kind()) : new Kind("", 0, 0);
             n.cores = k.cores() > 0 ? k.cores() : CORES_UNTOLD * Math.max(e.rating(), 0.1);
--- a/src/main/java/junipercourse/engine/EngineCall.java
+++ b/src/main/java/junipercourse/engine/EngineCall.java
@@ -12,6 +12,9 @@
 
         void answered(HttpResponse response);
 
+        /** All of the call has been handed to the system. */
+        default void written() { }
+
         /** The connection broke with the call on it. */
         void broken();
 
@@ -48,6 +51,12 @@
         connection.write(this, request);
     }
 
+    void written() {
+        if (listener != null) {
+            listener.written();
+        }
+    }
+
     void answered(HttpResponse response) {
         Listener told = over();
         if (told != null) {
--- a/src/main/java/junipercourse/engine/EngineConnection.java
+++ b/src/main/java/junipercourse/engine/EngineConnection.java
@@ -15,6 +15,7 @@
     private final HttpParser parser = new HttpParser();
     private final Link link;
     private EngineCall call;
+    private boolean written;
     double idleSince;
 
     EngineConnection(Loop loop, StreamConnection connection, EnginePool pool, Counters counters) {
@@ -30,7 +31,19 @@
 
     void write(EngineCall next, byte[] request) {
         call = next;
+        written = false;
         link.write(request);
+        if (link.unsentBytes() == 0) {
+            flushed();
+        }
+    }
+
+    @Override
+    public void flushed() {
+        if (call != null && !written) {
+            written = true;
+            call.written();
+        }
     }
 
     @Override
--- a/src/main/java/junipercourse/engine/Fetch.java
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -163,6 +163,11 @@
             return posted && super.mayWrite();
         }
 
+        @Override
+        public void written() {
+            ending.written();
+        }
+
         @Override
         public void takenBack() {
             end(End.of(Outcome.TURNED_AWAY));
