Let a replaced process refuse what it has not started, for its successor to take

Cause: clients hold at most a third of the descriptors of both processes together; 58 to 108 queries, many of them waiting for an engine, kept newcomers out (764 connections not taken, 580 requests ended at the door). Change: from SIGTERM on, on a shared socket, what has had no attempt is refused with no time to stay away.

--- a/src/main/java/junipercourse/cli/Ending.java
+++ b/src/main/java/junipercourse/cli/Ending.java
@@ -17,6 +17,7 @@
     /** Of a process that is replaced, it counts 5 s (DAYS); we go half a second before it. */
     private static final double REPLACED_MOST_S = 5;
     private static final double REPLACED_MARGIN_S = 0.2;
+    private static final double HAND_OVER_S = 0.1;
     private static final double LAST_BYTES_S = 0.05;
 
     private final Loop loop;
@@ -40,6 +41,7 @@
             Logger.info("asked to end; {} queries are open", gateway.open());
             if (front.sharesSocket()) { // those who come are the other processes'
                 front.leaveToOthers(this::untilIdle);
+                handOver();
             } else {
                 loop.after(STILL_COMING_S, this::untilIdle);
             }
@@ -55,6 +57,12 @@
         }
     }
 
+    /** What comes on connections that were open before gets the time in which it is started at once, or not. */
+    private void handOver() {
+        gateway.handOver();
+        loop.after(HAND_OVER_S, this::handOver);
+    }
+
     private void untilIdle() {
         front.end();
         gateway.whenIdle(() -> loop.after(LAST_BYTES_S, done::countDown));
--- a/src/main/java/junipercourse/core/Gateway.java
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -192,6 +192,19 @@
         event(now -> answers.checkIdle());
     }
 
+    /**
+     * Sends what has not been started to the process that comes after this one: clients may hold only so many
+     * connections to both, and what waits here would keep others out there.
+     */
+    public void handOver() {
+        for (Exchange x : answers.all()) {
+            if (!x.answered && x.attempts == 0) {
+                answers.refused(x, 0, "the dispatcher is being replaced");
+                abandonInModule(x);
+            }
+        }
+    }
+
     /** Answers what is still open: a client told now can go elsewhere; one cut off by our end cannot tell. */
     public void answerAll() {
         for (Exchange x : answers.all()) {
