Split the loop: thread, alarm, marks, stalls, acceptors and dialling in files of their own

Change: none in behaviour. IoThread starts and ends XNIO's worker and guards tasks, Alarm wakes for deadlines, Marks proves up to when all was read, Stalls finds gaps and catches up, Acceptors listens and counts who waits, Dialling is a connection being opened. Loop stays the one door to them: its public methods, Loop.Dial and Loop.DialFailure are as before.

--- /dev/null
+++ b/src/main/java/junipercourse/net/Alarm.java
@@ -0,0 +1,72 @@
+package junipercourse.net;
+
+import java.util.concurrent.RejectedExecutionException;
+import org.tinylog.Logger;
+import org.xnio.XnioIoThread;
+
+/** Wakes the loop for its deadlines: one alarm, set for the next of them. */
+final class Alarm {
+    private final Loop loop;
+    private final IoThread thread;
+    private final Deadlines deadlines = new Deadlines();
+    private XnioIoThread.Key wakeUp;
+    private double wakeAt = Double.POSITIVE_INFINITY;
+    private int wakeUps;
+
+    Alarm(Loop loop, IoThread thread) {
+        this.loop = loop;
+        this.thread = thread;
+    }
+
+    /** Runs a task at a time unless it is taken back before. */
+    Deadlines.Entry at(double time, Runnable task) {
+        Deadlines.Entry entry = deadlines.add(time, task);
+        rearm();
+        return entry;
+    }
+
+    /** Takes a deadline back; null and one that has passed are ignored. */
+    void cancel(Deadlines.Entry entry) {
+        deadlines.remove(entry);
+    }
+
+    private void rearm() {
+        double next = deadlines.next();
+        if (next >= wakeAt) {
+            return;
+        }
+        if (wakeUp != null) {
+            wakeUp.remove();
+            wakeUp = null;
+        }
+        wakeAt = next;
+        // XNIO cuts a delay to whole milliseconds, and one under a millisecond to none: rounded down, the
+        // rest of each deadline's last millisecond would be spent in a busy loop.
+        long millis = (long) Math.ceil(Math.max(0, next - loop.now()) * 1e3);
+        try {
+            wakeUp = thread.after(millis, this::fire);
+        } catch (RejectedExecutionException e) {
+            Logger.debug("a deadline came after the loop's end");
+        }
+    }
+
+    /** How often it went off. */
+    int wakeUps() {
+        return wakeUps;
+    }
+
+    /** Runs the deadlines that are due, unless a stall is being caught up with, and is set for the next. */
+    void fire() {
+        wakeUps++;
+        wakeUp = null;
+        wakeAt = Double.POSITIVE_INFINITY;
+        loop.enter();
+        if (loop.catchingUp()) { // Stalls comes back here when that is done
+            return;
+        }
+        for (Runnable due = deadlines.poll(loop.now()); due != null; due = deadlines.poll(loop.now())) {
+            thread.guarded(due);
+        }
+        rearm();
+    }
+}
