Split a link's queue of what is not sent yet from the link

Change: none in behaviour. OutputQueue holds what the peer has not taken yet, gathers it into the loop's buffer and sends it; Link keeps the connection, its one close, reading and the handler.

--- a/src/main/java/junipercourse/net/Link.java
+++ b/src/main/java/junipercourse/net/Link.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
 import junipercourse.liveness.Arrival;
 import org.tinylog.Logger;
 import org.xnio.IoUtils;
@@ -12,8 +11,8 @@
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
- * A connection with a handler: bytes go to the handler as they come, and what is written waits here until
- * the peer takes it. It is given back in one place, {@link #close}.
+ * A connection with a handler: bytes go to the handler as they come, and what is written waits until the
+ * peer takes it ({@link OutputQueue}). It is given back in one place, {@link #close}.
  */
 public final class Link {
     private static final int MAX_READS_A_TURN = 8; // so that no one peer keeps the thread to itself
@@ -40,9 +39,7 @@
     private final ConduitStreamSinkChannel sink;
     private final Handler handler;
     private final ByteBuffer input;
-    private final ByteBuffer output;
-    private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
-    private long unsentBytes;
+    private final OutputQueue unsent;
     private boolean closed;
     private boolean closing;
     private double unreadSince = Double.NaN;
@@ -54,7 +51,7 @@
         this.connection = connection;
         this.handler = handler;
         input = loop.input();
-        output = loop.output();
+        unsent = new OutputQueue(loop.output());
         source = connection.getSourceChannel();
         sink = connection.getSinkChannel();
         source.setReadListener(c -> readable());
@@ -158,14 +155,13 @@
         if (closed || closing) {
             return;
         }
-        unsent.add(ByteBuffer.wrap(bytes));
-        unsentBytes += bytes.length;
+        unsent.add(bytes);
         flush();
     }
 
     /** Bytes that the peer has not taken yet. */
     public long unsentBytes() {
-        return unsentBytes;
+        return unsent.bytes();
     }
 
     private void writable() {
@@ -178,13 +174,9 @@
 
     private void flush() {
         try {
-            while (!unsent.isEmpty()) {
-                int n = sink.write(gather());
-                if (n == 0) {
-                    sink.resumeWrites();
-                    return;
-                }
-                drop(n);
+            if (!unsent.sendTo(sink)) {
+                sink.resumeWrites();
+                return;
             }
             sink.suspendWrites();
             if (closing) {
@@ -193,42 +185,10 @@
         } catch (IOException e) {
             // Told through the reading side's turn: a caller in the middle of its work is not called back.
             unsent.clear();
-            unsentBytes = 0;
             loop.execute(this::fail);
         }
     }
 
-    private void copy(ByteBuffer from) {
-        ByteBuffer part = from.duplicate();
-        part.limit(part.position() + Math.min(part.remaining(), output.remaining()));
-        output.put(part);
-    }
-
-    private ByteBuffer gather() {
-        output.clear();
-        for (ByteBuffer b : unsent) {
-            if (!output.hasRemaining()) {
-                break;
-            }
-            copy(b);
-        }
-        return output.flip();
-    }
-
-    private void drop(int written) {
-        unsentBytes -= written;
-        int left = written;
-        while (left > 0) {
-            ByteBuffer first = unsent.peek();
-            int n = Math.min(left, first.remaining());
-            first.position(first.position() + n);
-            left -= n;
-            if (!first.hasRemaining()) {
-                unsent.poll();
-            }
-        }
-    }
-
     /** Closes once all that was written has gone out. */
     public void closeAfterFlush() {
         closing = true;
