Split Fetch into calls, pages and requests; no behaviour changes

Change: FetchCalls (one call after the other, what it proves, its time), FetchPages (the pages of a result) and EngineRequests (bytes) are taken out of it as they were.

--- /dev/null
+++ b/src/main/java/junipercourse/engine/EngineRequests.java
@@ -0,0 +1,33 @@
+package junipercourse.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import junipercourse.core.Query;
+
+/** The bytes of calls to an engine. */
+final class EngineRequests {
+    private EngineRequests() {
+    }
+
+    /** Starts a query; {@code waitMs} is how long its news is waited for. */
+    static byte[] post(Query query, long waitMs) {
+        StringBuilder head = new StringBuilder("POST /fetch HTTP/1.1\r\n").append("Host: engine\r\n")
+                .append("X-Txn: ").append(query.id()).append("\r\n")
+                .append("X-Lane: ").append(query.className()).append("\r\n")
+                .append("X-Limit-Ms: ").append(waitMs).append("\r\n");
+        if (query.idempotencyKey() != null) {
+            head.append("X-Dedupe: ").append(query.idempotencyKey()).append("\r\n");
+        }
+        head.append("Content-Length: ").append(query.statement().length).append("\r\n\r\n");
+        byte[] top = head.toString().getBytes(StandardCharsets.ISO_8859_1);
+        byte[] all = Arrays.copyOf(top, top.length + query.statement().length);
+        System.arraycopy(query.statement(), 0, all, top.length, query.statement().length);
+        return all;
+    }
+
+    /** A call without a body, such as {@code GET} of {@code /0}. */
+    static byte[] bare(String method, Query query, String rest) {
+        return (method + " /fetch/" + query.id() + rest + " HTTP/1.1\r\nHost: engine\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+}
