Give each attempt its own connections to its engine; no answer goes to another query

Cause: an engine's answer names no query. A connection was used for another query after 2 ms of rest, and a second copy of the answer that came later was handed out as that query's rows, or as the end of it.

Change: a connection serves one attempt and is closed with it; the pool of idle ones is gone. Only a 202 can pass for another one (whatever else is told ends the asking).

Weighed: connection per attempt (chosen: rests on nothing the engine does); byte-equality with what the connection brought before (fewer handshakes, but rests on identical copies, and doubled 202s shift it); a longer rest (no proof); fresh connections for keyed classes only (rows still go to the wrong client).

No guard was broken on purpose with a result; handshakes before the change were not measured.

--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -66,7 +66,7 @@
         int toEngines = (int) (descriptors.free() * ENGINE_PART);
         Descriptors.Share engineShare = descriptors.share("engines", toEngines - CLOSING, CLOSING);
         Descriptors.Share clientShare = descriptors.share("clients", descriptors.free(), 0);
-        EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(),
+        EngineClient engines = new EngineClient(loop, config.settings(),
                 engineShare, counters);
         gateway = new Gateway(loop, config.settings(), config.seed(),
                 (int) (config.resources().sockets() * TAKEN_PART), engines, counters);
--- a/src/main/java/junipercourse/engine/EngineCall.java
+++ b/src/main/java/junipercourse/engine/EngineCall.java
@@ -2,7 +2,7 @@
 
 /**
  * One call to an engine, from the moment a connection is wanted for it until its answer is there or it
- * failed. Exactly one of the listener's methods is called, unless the call is dropped.
+ * failed. Exactly one of the listener's methods that tell how it went is called, unless it is dropped.
  */
 final class EngineCall {
     /** Is told how a call went. */
@@ -10,7 +10,17 @@
         /** Asked right before the first byte: false takes the call back unwritten. */
         boolean mayWrite();
 
-        void answered(HttpResponse response);
+        /**
+         * Whether an answer can be to this call alone, although its connection has brought others before, of
+         * which it may be a late second copy.
+         */
+        boolean proves(HttpResponse response);
+
+        /** Nothing more of the call arrives: it is answered for sure, or reset. May be said twice. */
+        void over();
+
+        /** {@code sure} unless the answer may be a copy of an earlier one on its connection. */
+        void answered(HttpResponse response, boolean sure);
 
         /** The connection broke with the call on it. */
         void broken();
@@ -23,7 +33,8 @@
     }
 
     private final byte[] request;
-    private Listener listener;
+    private final Listener listener;
+    private boolean wanted = true;
     private EngineConnection on;
     private Runnable stopDialing;
 
@@ -36,11 +47,11 @@
         stopDialing = stop;
     }
 
-    /** Writes the call on a connection, or gives the connection back to its pool. */
-    void run(EngineConnection connection, EnginePool pool) {
+    /** Writes the call on a connection, or closes that. */
+    void run(EngineConnection connection) {
         stopDialing = null;
-        if (listener == null || !listener.mayWrite()) {
-            pool.idle(connection);
+        if (!wanted || !listener.mayWrite()) {
+            connection.close();
             takenBack();
             return;
         }
@@ -48,38 +59,43 @@
         connection.write(this, request);
     }
 
-    void answered(HttpResponse response) {
-        Listener told = over();
-        if (told != null) {
-            told.answered(response);
+    boolean proves(HttpResponse response) {
+        return listener.proves(response);
+    }
+
+    /** Told of ignored calls, too: what is still on its way may arrive although nobody waits for it. */
+    void nothingMore() {
+        listener.over();
+    }
+
+    void answered(HttpResponse response, boolean sure) {
+        if (done()) {
+            listener.answered(response, sure);
         }
     }
 
     void broken() {
-        Listener told = over();
-        if (told != null) {
-            told.broken();
+        if (done()) {
+            listener.broken();
         }
     }
 
     /** Nothing was written, and nothing is to be. */
     void takenBack() {
-        Listener told = over();
-        if (told != null) {
-            told.takenBack();
+        if (done()) {
+            listener.takenBack();
         }
     }
 
     void unreachable(boolean refused) {
-        Listener told = over();
-        if (told != null) {
-            told.unreachable(refused);
+        if (done()) {
+            listener.unreachable(refused);
         }
     }
 
-    private Listener over() {
-        Listener told = listener;
-        listener = null;
+    private boolean done() {
+        boolean told = wanted;
+        wanted = false;
         stopDialing = null;
         on = null;
         return told;
@@ -87,19 +103,19 @@
 
     /** Whether somebody still waits for how it goes. */
     boolean wanted() {
-        return listener != null;
+        return wanted;
     }
 
-    /** The listener hears nothing more; an answer that still comes frees the connection for others. */
+    /** The listener hears nothing more but {@link Listener#over}. */
     void ignore() {
-        listener = null;
+        wanted = false;
         if (stopDialing != null) {
             stopDialing.run();
             stopDialing = null;
         }
     }
 
-    /** Ignores the call and resets its connection: from the next pass on no more of it arrives. */
+    /** Ignores the call and, unless it is answered, resets its connection: then no more of it arrives. */
     void drop() {
         EngineConnection c = on;
         ignore();
--- a/src/main/java/junipercourse/engine/EngineClient.java
+++ b/src/main/java/junipercourse/engine/EngineClient.java
@@ -19,26 +19,20 @@
 import junipercourse.net.Descriptors;
 import junipercourse.net.Loop;
 
-/** The engines by id, each with its connections; starts fetches on them. */
+/** The engines by id, each with what opens its connections; starts fetches on them. */
 public final class EngineClient implements Backend {
-    /** Of the time after which an engine closes an idle connection: ours goes first, and no call meets it. */
-    private static final double IDLE_PART = 0.7;
-
     private final Loop loop;
     private final double dialTimeout;
-    private final double idleSeconds;
     private final Counters counters;
     private final GaugeReader gauges;
     private final EnginePool.Budget budget;
     private final Map<EngineId, EnginePool> pools = new HashMap<>();
 
     /** {@code share} bounds what is open to all engines together. */
-    public EngineClient(Loop loop, Settings settings, double idleSeconds, Descriptors.Share share,
-            Counters counters) {
+    public EngineClient(Loop loop, Settings settings, Descriptors.Share share, Counters counters) {
         this.budget = new EnginePool.Budget(loop, share);
         this.loop = loop;
         this.dialTimeout = settings.limits().dialTimeout() > 0 ? settings.limits().dialTimeout() : 1;
-        this.idleSeconds = idleSeconds * IDLE_PART;
         this.counters = counters;
         this.gauges = new GaugeReader(settings.loadFields());
     }
@@ -59,8 +53,7 @@
                 pool = null;
             }
             if (pool == null) {
-                pool = new EnginePool(loop, e.id(), m.address(), dialTimeout, idleSeconds, budget,
-                        counters);
+                pool = new EnginePool(loop, e.id(), m.address(), dialTimeout, budget, counters);
                 pools.put(e.id(), pool);
             }
             pool.ready(e.stage() == Stage.READY);
@@ -74,7 +67,7 @@
     private void retire(EngineId id) {
         EnginePool pool = pools.remove(id);
         if (pool != null) {
-            pool.retire();
+            pool.ready(false);
         }
     }
 
--- a/src/main/java/junipercourse/engine/EngineConnection.java
+++ b/src/main/java/junipercourse/engine/EngineConnection.java
@@ -1,6 +1,8 @@
 package junipercourse.engine;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import junipercourse.core.Counters;
 import junipercourse.core.Counters.Count;
 import junipercourse.net.Link;
@@ -8,27 +10,53 @@
 import org.tinylog.Logger;
 import org.xnio.StreamConnection;
 
-/** One connection to an engine, with at most one call on it. Its pool owns it. */
+/**
+ * One connection to an engine, with at most one call on it. It serves one attempt of one query and is then
+ * closed: an answer names no query, and a second copy of it may come at any later time.
+ */
 final class EngineConnection implements Link.Handler {
+    /** The attempt that a connection serves. */
+    interface Owner {
+        /** The call on it is answered, and it can serve another. */
+        void free(EngineConnection connection);
+    }
+
+    private final Loop loop;
     private final EnginePool pool;
+    private final Owner owner;
     private final Counters counters;
     private final HttpParser parser = new HttpParser();
     private final Link link;
     private EngineCall call;
-    double idleSince;
+    /** Calls of which no answer proves that they have arrived. At most those that one attempt makes. */
+    private final List<EngineCall> unproven = new ArrayList<>();
+    private boolean hasAnswered;
+    private boolean left;
 
-    EngineConnection(Loop loop, StreamConnection connection, EnginePool pool, Counters counters) {
+    EngineConnection(Loop loop, StreamConnection connection, EnginePool pool, Owner owner,
+            Counters counters) {
+        this.loop = loop;
         this.pool = pool;
+        this.owner = owner;
         this.counters = counters;
         this.link = new Link(loop, connection, this);
     }
 
-    /** Guards the next call against what still came after the last answer: it would be taken for its own. */
-    boolean quiet() {
-        return link.quiet();
+    /** Whether another call can go here. What came since the last answer is to nothing: it is closed then. */
+    boolean usable() {
+        if (left) {
+            return false;
+        }
+        if (!link.quiet()) {
+            counters.add(Count.ENGINES_GARBLED);
+            close();
+            return false;
+        }
+        return true;
     }
 
     void write(EngineCall next, byte[] request) {
+        unproven.add(next);
         call = next;
         link.write(request);
     }
@@ -43,17 +71,7 @@
             if (response == null || call == null) {
                 throw new HttpParser.GarbledException("an answer to nothing");
             }
-            EngineCall done = call;
-            call = null;
-            if (bytes.hasRemaining()) { // a whole answer counts, but what follows it belongs to no call
-                counters.add(Count.ENGINES_GARBLED);
-                close();
-            } else if (response.keepAlive()) {
-                pool.idle(this);
-            } else {
-                close();
-            }
-            done.answered(response);
+            answered(response, bytes.hasRemaining());
         } catch (HttpParser.GarbledException e) {
             counters.add(Count.ENGINES_GARBLED);
             Logger.warn("engine {}: {}; the connection is closed", pool.name(), e.getMessage());
@@ -62,6 +80,25 @@
         }
     }
 
+    private void answered(HttpResponse response, boolean followed) {
+        EngineCall done = call;
+        boolean sure = !hasAnswered || done.proves(response);
+        call = null;
+        hasAnswered = true;
+        if (sure) { // an engine takes the calls of a connection in order
+            nothingMore();
+        }
+        if (followed) { // a whole answer counts, but what follows it belongs to no call
+            counters.add(Count.ENGINES_GARBLED);
+            close();
+        } else if (response.keepAlive()) {
+            owner.free(this);
+        } else {
+            close();
+        }
+        done.answered(response, sure);
+    }
+
     @Override
     public void crashed() {
         counters.add(Count.INTERNAL_ERRORS);
@@ -70,27 +107,48 @@
 
     @Override
     public void disconnected() {
-        pool.left(this);
+        leave();
         EngineCall broken = call;
         call = null;
         if (broken != null) {
             link.abort(); // of a call that is told as broken nothing more may arrive
             counters.add(Count.ENGINES_BROKEN);
+            nothingMore();
             broken.broken();
+        } else if (!unproven.isEmpty()) {
+            abort();
         }
     }
 
     /** Closes; a call on it hears nothing. */
     void close() {
+        if (!unproven.isEmpty()) { // an orderly close would still deliver what lies in the kernel
+            abort();
+            return;
+        }
         call = null;
         link.close();
-        pool.left(this);
+        leave();
     }
 
     /** Closes with a reset; a call on it hears nothing, and what has not reached the engine never does. */
     void abort() {
         call = null;
         link.abort();
-        pool.left(this);
+        leave();
+        loop.afterNextPass(this::nothingMore); // by then the reset has surely reached the kernel
+    }
+
+    private void nothingMore() {
+        List<EngineCall> over = List.copyOf(unproven);
+        unproven.clear();
+        over.forEach(EngineCall::nothingMore);
+    }
+
+    private void leave() {
+        if (!left) {
+            left = true;
+            pool.left();
+        }
     }
 }
--- a/src/main/java/junipercourse/engine/Fetch.java
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -8,7 +8,6 @@
 import junipercourse.core.Query;
 import junipercourse.decision.DispatchApi.Outcome;
 import junipercourse.liveness.AttemptEvidence;
-import junipercourse.net.Deadlines;
 import junipercourse.net.Loop;
 
 /**
@@ -21,6 +20,8 @@
     /** Calls in a row that bring nothing readable, before and after the engine has said anything of it. */
     private static final int BREAKS_UNHEARD = 4;
     private static final int BREAKS = 12;
+    /** A 202 that comes sooner was not held by the engine; its clock may be a little fast. */
+    private static final double NO_NEWS_S = AttemptEvidence.HOLD_S - 0.01;
     /** For what had left before its connection was reset to come in before what follows on another. */
     private static final double OVERTAKE_S = 0.05;
 
@@ -34,7 +35,7 @@
     private final FetchPages pages = new FetchPages();
     private final AttemptEvidence evidence = new AttemptEvidence();
     private final FetchCalls calls;
-    private Deadlines.Entry forgotten;
+    private final FetchGivingUp givingUp;
     private boolean posted;
     private int breaks;
     private Outcome givenUpAs;
@@ -51,22 +52,34 @@
         this.counters = counters;
         this.ending = ending;
         calls = new FetchCalls(loop, pool, evidence);
+        givingUp = new FetchGivingUp(loop, query, calls, evidence, () -> end(End.of(givenUpAs)));
     }
 
-    // ---- starting ----
-
     void start() {
         if (givenUpAs == null) {
             long wait = Math.max(1, Math.round((giveUpAt - loop.now()) * 1000));
-            calls.run(EngineRequests.post(query, wait), new Start(), false, true);
+            calls.run(EngineRequests.post(query, wait), new Start(), true);
         }
     }
 
-    private final class Start extends FetchCalls.Step {
-        Start() {
+    /** A call that is answered with news. */
+    private abstract class Asking extends FetchCalls.Step {
+        Asking() {
             super(calls);
         }
 
+        @Override
+        public final boolean proves(HttpResponse response) {
+            return response.status() != 202;
+        }
+
+        @Override
+        void told(HttpResponse response, boolean sure) {
+            news(response, sure || age() > NO_NEWS_S);
+        }
+    }
+
+    private final class Start extends Asking {
         /** Guards drains: the list may have changed while the connection came up. */
         @Override
         public boolean mayWrite() {
@@ -84,11 +97,6 @@
             end(End.of(Outcome.UNREACHABLE));
         }
 
-        @Override
-        void told(HttpResponse response) {
-            news(response);
-        }
-
         /** It may have run and may be running: only the engine can tell. */
         @Override
         void failed() {
@@ -102,16 +110,7 @@
 
     // ---- news ----
 
-    private final class Poll extends FetchCalls.Step {
-        Poll() {
-            super(calls);
-        }
-
-        @Override
-        void told(HttpResponse response) {
-            news(response);
-        }
-
+    private final class Poll extends Asking {
         @Override
         void failed() {
             askAgain();
@@ -151,29 +150,49 @@
     }
 
     private void poll() {
-        calls.run(EngineRequests.bare("GET", query, "/0"), new Poll(), breaks > 0, false);
+        calls.run(EngineRequests.bare("GET", query, "/0"), new Poll(), false);
     }
 
-    private void news(HttpResponse response) {
+    /**
+     * What may be a copy is news nevertheless: it is about this query, and only a 202 can be one, since
+     * whatever else is told ends the asking. But then its call is still on its way.
+     */
+    private void news(HttpResponse response, boolean trusted) {
         boolean leftAlone = evidence.droppedByUs();
-        evidence.heard();
-        breaks = 0;
         boolean neverRan = "1".equals(response.header("x-unrun"));
         switch (response.status()) {
             case 200 -> goodEnd(response);
-            case 202 -> calls.later(EnginePool.REST_S, this::poll);
+            case 202 -> stillRuns(trusted);
             case 503 -> end(plain(neverRan ? Outcome.TURNED_AWAY : Outcome.ERROR, response));
             case 504 -> end(plain(neverRan ? Outcome.MOOT : Outcome.ERROR, response));
-            default -> {
+            case 500 -> {
                 if (leftAlone) {
                     leftAlone();
                 } else {
                     end(plain(Outcome.ERROR, response));
                 }
             }
+            default -> spoilt(); // such as 204, which answers no call for news: no proof of an end
         }
     }
 
+    /** One that came too soon, where another came before: the next call goes elsewhere. */
+    private void stillRuns(boolean trusted) {
+        if (trusted) {
+            evidence.heard();
+            breaks = 0;
+        } else {
+            calls.reset();
+        }
+        calls.later(FetchCalls.REST_S, this::poll);
+    }
+
+    private void spoilt() {
+        counters.add(Count.ENGINES_GARBLED);
+        calls.reset();
+        askAgain();
+    }
+
     private End plain(Outcome outcome, HttpResponse response) {
         return new End(outcome, gauges.read(response.header("x-gauges")), 0, 0, List.of());
     }
@@ -181,74 +200,24 @@
     // ---- pages ----
 
     private void goodEnd(HttpResponse response) {
+        evidence.heard();
         goodEnd = response;
-        if (!pages.first(response)) {
-            counters.add(Count.ENGINES_GARBLED);
-            askAgain();
-            return;
-        }
-        nextPage();
-    }
-
-    private static double decimal(String text) {
-        try {
-            double d = text == null ? 0 : Double.parseDouble(text);
-            return d >= 0 && d < Double.POSITIVE_INFINITY ? d : 0;
-        } catch (NumberFormatException e) {
-            return 0;
+        if (pages.first(response)) {
+            new FetchPageCalls(query, pages, calls, evidence, counters, this::pagesDone).next();
+        } else {
+            spoilt();
         }
     }
 
-    private void nextPage() {
-        if (pages.whole()) {
+    private void pagesDone(boolean whole) {
+        if (whole) {
             end(new End(Outcome.OK, gauges.read(goodEnd.header("x-gauges")),
-                    decimal(goodEnd.header("x-effort")) / 1000, decimal(goodEnd.header("x-footprint")),
+                    goodEnd.decimal("x-effort") / 1000, goodEnd.decimal("x-footprint"),
                     pages.all()));
+        } else if (evidence.droppedByUs()) {
+            leftAlone();
         } else {
-            calls.later(breaks > 1 ? ASK_AGAIN_S : EnginePool.REST_S,
-                    () -> calls.run(EngineRequests.bare("GET", query, "/" + pages.next()), new Page(),
-                            breaks > 0, false));
-        }
-    }
-
-    private final class Page extends FetchCalls.Step {
-        Page() {
-            super(calls);
-        }
-
-        @Override
-        void told(HttpResponse response) {
-            if (response.status() != 200) { // pages end with their engine, or when nobody asks for them
-                if (evidence.droppedByUs()) {
-                    leftAlone();
-                } else {
-                    end(plain(Outcome.ERROR, goodEnd));
-                }
-                return;
-            }
-            evidence.heard();
-            if (pages.further(response)) {
-                breaks = 0;
-                nextPage();
-            } else { // spoilt, or another page's: the engine still has this one
-                counters.add(Count.ENGINES_GARBLED);
-                failed();
-            }
-        }
-
-        @Override
-        void failed() {
-            breaks++;
-            if (breaks >= BREAKS_UNHEARD) {
-                end(plain(Outcome.ERROR, goodEnd));
-            } else {
-                nextPage();
-            }
-        }
-
-        @Override
-        public void unreachable(boolean refused) {
-            failed();
+            end(plain(Outcome.ERROR, goodEnd));
         }
     }
 
@@ -265,65 +234,14 @@
             loop.execute(() -> end(End.of(as)));
             return;
         }
-        if (evidence.wasHeard()) { // a silent engine's connection is not kept for its answer
-            calls.dropAfter(FetchCalls.ANSWER_S);
-            delete(breaks > 0);
-        } else { // guards against a DELETE that overtakes its POST and leaves the query running
-            calls.dropAfter(0);
-            calls.later(OVERTAKE_S, () -> delete(breaks > 0));
-        }
-        untilForgotten();
-    }
-
-    /** If nobody answers, the query is surely gone once it has not been asked for long enough. */
-    private void untilForgotten() {
-        double now = loop.now();
-        double gone = evidence.goneFrom();
-        if (gone <= now) {
-            end(End.of(givenUpAs));
-        } else { // a call that is on its way is dropped within the time for its answer
-            forgotten = loop.at(Math.min(gone, now + FetchCalls.ANSWER_S), this::untilForgotten);
-        }
-    }
-
-    private void delete(boolean fresh) {
-        calls.run(EngineRequests.bare("DELETE", query, ""), new Delete(), fresh, false);
-    }
-
-    private final class Delete extends FetchCalls.Step {
-        Delete() {
-            super(calls);
-        }
-
-        /** Asking the engine to forget a query does not keep it alive. */
-        @Override
-        public boolean mayWrite() {
-            return true;
-        }
-
-        @Override
-        void told(HttpResponse response) {
-            end(End.of(givenUpAs));
-        }
-
-        /** Tried until it is answered or the query is forgotten: until then it may run. */
-        @Override
-        void failed() {
-            calls.later(ASK_AGAIN_S, () -> delete(true));
-        }
-
-        /** Guards against a second attempt beside one at an engine that merely takes no more connections. */
-        @Override
-        public void unreachable(boolean refused) {
-            calls.later(ASK_AGAIN_S, () -> delete(false));
-        }
+        givingUp.begin(OVERTAKE_S);
     }
 
     /** The one place where an attempt ends. */
     private void end(End end) {
         if (!over) {
             over = true;
-            loop.cancel(forgotten);
+            givingUp.end();
             calls.end();
             ending.ended(end);
         }
--- a/src/main/java/junipercourse/engine/FetchCalls.java
+++ b/src/main/java/junipercourse/engine/FetchCalls.java
@@ -4,16 +4,24 @@
 import junipercourse.net.Deadlines;
 import junipercourse.net.Loop;
 
-/** The calls of one attempt, one after the other, each with the time it has for its answer. */
-final class FetchCalls {
+/**
+ * The calls of one attempt, one after the other, each with the time it has for its answer, and their
+ * connections: at most two, the second one for a DELETE beside a call that the engine holds. No other
+ * attempt ever uses them, so that all that comes there is about this query; its end closes them.
+ */
+final class FetchCalls implements EngineConnection.Owner {
     /** The engine answers each call within a quarter of a second; one this late is lost. */
     static final double ANSWER_S = 0.6;
+    /** Before a connection is used again: what an engine sends right behind an answer has come by then. */
+    static final double REST_S = 0.002;
 
     private final Loop loop;
     private final EnginePool pool;
     private final AttemptEvidence evidence;
     private EngineCall call;
-    private Step onCall;
+    private EngineCall ignored;
+    private EngineConnection kept;
+    private boolean ended;
     private Deadlines.Entry timer;
 
     FetchCalls(Loop loop, EnginePool pool, AttemptEvidence evidence) {
@@ -22,16 +30,39 @@
         this.evidence = evidence;
     }
 
-    void run(byte[] request, Step step, boolean fresh, boolean starts) {
+    /** Makes a call on the connection that is kept, if that is usable, or on a new one. */
+    void run(byte[] request, Step step, boolean starts) {
         EngineCall mine = new EngineCall(request, step);
         call = mine;
-        onCall = step;
         loop.cancel(timer);
         timer = loop.after(ANSWER_S, () -> {
-            drop(mine, step);
+            mine.drop();
             step.failed();
         });
-        pool.call(call, fresh, starts);
+        EngineConnection reused = kept;
+        kept = null;
+        if (reused != null && reused.usable()) {
+            mine.run(reused);
+        } else {
+            pool.call(mine, starts, this);
+        }
+    }
+
+    @Override
+    public void free(EngineConnection connection) {
+        if (ended || kept != null) {
+            connection.close();
+        } else {
+            kept = connection;
+        }
+    }
+
+    /** Resets the connection that is kept: what came there last may be no answer to the last call. */
+    void reset() {
+        if (kept != null) {
+            kept.abort();
+            kept = null;
+        }
     }
 
     /** Does something later instead of waiting for an answer. */
@@ -45,17 +76,16 @@
         loop.cancel(timer);
         if (call != null) {
             call.ignore();
+            ignored = call;
         }
     }
 
-    /** Resets the last call's connection after that delay, unless the call was answered by then. */
-    void dropAfter(double delay) {
-        EngineCall dropped = call;
-        Step step = onCall;
+    /** Resets the connection of the ignored call, after a delay only if it has no answer then. */
+    void dropIgnored(double delay) {
         if (delay > 0) {
-            loop.after(delay, () -> drop(dropped, step));
+            loop.after(delay, ignored::drop);
         } else {
-            drop(dropped, step);
+            ignored.drop();
         }
     }
 
@@ -64,24 +94,26 @@
         return call != null;
     }
 
-    /** The attempt is over: a call that is still unanswered would hold its connection for good. */
+    /** The attempt is over: closes its connections, with a reset where a call may still be on its way. */
     void end() {
+        ended = true;
         loop.cancel(timer);
+        if (ignored != null) {
+            ignored.drop();
+        }
         if (call != null) {
             call.drop();
         }
-    }
-
-    /** Resets the call's connection; the call is over once that has surely reached the kernel. */
-    private void drop(EngineCall dropped, Step step) {
-        dropped.drop();
-        loop.afterNextPass(step::over);
+        if (kept != null) {
+            kept.close();
+        }
     }
 
     /** What all calls have in common. */
     abstract static class Step implements EngineCall.Listener {
         private final FetchCalls calls;
         private boolean onTheWay;
+        private double writtenAt;
 
         Step(FetchCalls calls) {
             this.calls = calls;
@@ -90,12 +122,18 @@
         @Override
         public boolean mayWrite() {
             onTheWay = true;
-            calls.evidence.writing(calls.loop.now(), calls.loop.attended());
+            writtenAt = calls.loop.now();
+            calls.evidence.writing(writtenAt, calls.loop.attended());
             return true;
         }
 
-        /** Nothing more of it arrives. May be said twice. */
-        final void over() {
+        /** Seconds since its first byte. */
+        final double age() {
+            return calls.loop.now() - writtenAt;
+        }
+
+        @Override
+        public final void over() {
             if (onTheWay) {
                 onTheWay = false;
                 calls.evidence.over(calls.loop.now());
@@ -103,19 +141,17 @@
         }
 
         @Override
-        public final void answered(HttpResponse response) {
-            over();
-            told(response);
+        public final void answered(HttpResponse response, boolean sure) {
+            told(response, sure);
         }
 
         @Override
         public final void broken() {
-            over();
             failed();
         }
 
-        /** The engine has answered. */
-        abstract void told(HttpResponse response);
+        /** The engine has answered; {@code sure} as in {@link EngineCall.Listener#answered}. */
+        abstract void told(HttpResponse response, boolean sure);
 
         /** The call brought nothing readable, and brings nothing more. */
         abstract void failed();
--- /dev/null
+++ b/src/main/java/junipercourse/engine/FetchPageCalls.java
@@ -0,0 +1,89 @@
+package junipercourse.engine;
+
+import junipercourse.core.Counters;
+import junipercourse.core.Counters.Count;
+import junipercourse.core.Query;
+import junipercourse.liveness.AttemptEvidence;
+
+/** Gets the further pages of a result, after its good end was told with page 0. */
+final class FetchPageCalls {
+    private static final double ASK_AGAIN_S = 0.1;
+    /** Calls in a row that do not bring the page. */
+    private static final int BREAKS = 4;
+    private static final int FIRST_ERROR = 400;
+
+    private final Query query;
+    private final FetchPages pages;
+    private final FetchCalls calls;
+    private final AttemptEvidence evidence;
+    private final Counters counters;
+    private final Done done;
+    private int breaks;
+
+    /** Is told once, when all pages are there or one is lost. */
+    interface Done {
+        void done(boolean whole);
+    }
+
+    FetchPageCalls(Query query, FetchPages pages, FetchCalls calls, AttemptEvidence evidence,
+            Counters counters, Done done) {
+        this.query = query;
+        this.pages = pages;
+        this.calls = calls;
+        this.evidence = evidence;
+        this.counters = counters;
+        this.done = done;
+    }
+
+    void next() {
+        if (pages.whole()) {
+            done.done(true);
+        } else {
+            calls.later(breaks > 1 ? ASK_AGAIN_S : FetchCalls.REST_S, () -> calls.run(
+                    EngineRequests.bare("GET", query, "/" + pages.next()), new Page(), false));
+        }
+    }
+
+    private final class Page extends FetchCalls.Step {
+        Page() {
+            super(calls);
+        }
+
+        /** A page bears its number; an error is told of no query whose pages are got after it. */
+        @Override
+        public boolean proves(HttpResponse response) {
+            return pages.isNext(response) || response.status() >= FIRST_ERROR;
+        }
+
+        @Override
+        void told(HttpResponse response, boolean sure) {
+            if (pages.further(response)) {
+                evidence.heard();
+                breaks = 0;
+                next();
+            } else if (response.status() >= FIRST_ERROR) {
+                done.done(false); // pages end with their engine, or when nobody asks for them
+            } else { // spoilt, or a copy of a 202 or of another page: the engine still has this one
+                counters.add(Count.ENGINES_GARBLED);
+                calls.reset();
+                failed();
+            }
+        }
+
+        @Override
+        void failed() {
+            breaks++;
+            if (breaks >= BREAKS) {
+                evidence.heard(); // it is known to have ended well: nobody has left it alone
+                done.done(false);
+            } else {
+                next();
+            }
+        }
+
+        @Override
+        public void unreachable(boolean refused) {
+            failed();
+        }
+    }
+}
--- a/src/main/java/junipercourse/engine/FetchPages.java
+++ b/src/main/java/junipercourse/engine/FetchPages.java
@@ -13,20 +13,27 @@
     private int count;
     private int bytes;
 
-    /** Takes page 0, which tells the number of all pages; false if it is spoilt. */
+    /** Takes page 0, which tells the number of all pages; false if it is a further page's, or spoilt. */
     boolean first(HttpResponse response) {
-        count = number(response.header("x-fetches"));
-        if (count < 1 || count > MOST_PAGES || !wholeRows(response.body())) {
+        String fetches = response.header("x-fetches");
+        count = fetches == null ? 1 : number(fetches);
+        if (response.header("x-fetch") != null || count < 1 || count > MOST_PAGES
+                || !wholeRows(response.body())) {
             return false;
         }
         add(response.body());
         return true;
     }
 
+    /** Whether an answer says that it is the next page. */
+    boolean isNext(HttpResponse response) {
+        return response.status() == 200 && number(response.header("x-fetch")) == pages.size();
+    }
+
     /** Takes the next page; false if this is another one, or spoilt. */
     boolean further(HttpResponse response) {
-        boolean wanted = number(response.header("x-fetch")) == pages.size()
-                && wholeRows(response.body()) && bytes + response.body().length <= MOST_BYTES;
+        boolean wanted = isNext(response) && wholeRows(response.body())
+                && bytes + response.body().length <= MOST_BYTES;
         if (wanted) {
             add(response.body());
         }
@@ -68,7 +75,7 @@
 
     private static int number(String text) {
         try {
-            return text == null ? 1 : Integer.parseInt(text.trim());
+            return text == null ? -1 : Integer.parseInt(text.trim());
         } catch (NumberFormatException e) {
             return -1;
         }
