--- a/src/main/java/junipercourse/cli/Ending.java
+++ b/src/main/java/junipercourse/cli/Ending.java
@@ -57,7 +57,7 @@
         }
     }
 
-    /** What comes on connections that were open before gets the time in which it is started at once, or not. */
+    /** What comes on connections that were open before is started at once, or sent on as well. */
     private void handOver() {
         gateway.handOver();
         loop.after(HAND_OVER_S, this::handOver);
--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -66,7 +66,7 @@
         int toEngines = (int) (descriptors.free() * ENGINE_PART);
         Descriptors.Share engineShare = descriptors.share("engines", toEngines - CLOSING, CLOSING);
         Descriptors.Share clientShare = descriptors.share("clients", descriptors.free(), 0);
-        EngineClient engines = new EngineClient(loop, config.settings(), config.idleSeconds(),
+        EngineClient engines = new EngineClient(loop, config.settings(),
                 engineShare, counters);
         gateway = new Gateway(loop, config.settings(), config.seed(),
                 (int) (config.resources().sockets() * TAKEN_PART), engines, counters);
@@ -78,7 +78,7 @@
         staff = administered ? new Staff(loop, gateway, config, folder(config)) : null;
     }
 
-    /** For what outlives a process: {@code $TMPDIR} is private to a dispatcher, or else its name tells them apart. */
+    /** For what outlives a process. Where dispatchers share {@code $TMPDIR}, names tell them apart. */
     private static Path folder(Config config) {
         String tmp = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
         return Path.of(tmp, "junipercourse-out-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
--- a/src/main/java/junipercourse/cli/Staff.java
+++ b/src/main/java/junipercourse/cli/Staff.java
@@ -25,8 +25,8 @@
 import org.tinylog.Logger;
 
 /**
- * What the staff ask and order at the second address. The loop publishes what is so a few times a second; calls
- * are answered from that, so that none waits for the loop. Loaded only where a second address is configured.
+ * What the staff ask and order at the second address. The loop publishes what is so a few times a second;
+ * calls are answered from that, so that none waits for the loop. Loaded only with a second address.
  */
 final class Staff implements Operations, Closeable {
     /** Between publications: figures may lag by 0.5 s (DAYS, numbers). */
@@ -119,11 +119,11 @@
     }
 
     private JsonObject byClass(IntToLongFunction count) {
-        JsonObject out = Json.object();
+        JsonObject all = Json.object();
         for (int i = 0; i < classes.size(); i++) {
-            out.add(classes.get(i).name(), count.applyAsLong(i));
+            all.add(classes.get(i).name(), count.applyAsLong(i));
         }
-        return out;
+        return all;
     }
 
     /** Takes on the orders that stand in the folder, whichever process they came to. */
@@ -166,7 +166,7 @@
                 files.in(id);
             }
         } catch (IOException e) {
-            Logger.error("engine {} cannot be taken {}: {}", id.value(), takeOut ? "out" : "in", e.toString());
+            Logger.error("engine {} cannot be taken {}: {}", id.value(), takeOut ? "out" : "in", e);
             return Verdict.FAILED;
         }
         look();
--- a/src/main/java/junipercourse/core/Gateway.java
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -25,8 +25,8 @@
 import org.tinylog.Logger;
 
 /**
- * Drives the decision module: gathers the events of a turn, tells them, lets the module decide once, and
- * carries out what it asks for. Every query gets one final answer by {@link Answers}, whatever the module does.
+ * Drives the decision module: tells it the events of a turn, lets it decide once, and carries out what it
+ * asks for. Every query gets one final answer by {@link Answers}, whatever the module does.
  */
 public final class Gateway extends PlatformActions {
     /** The module answers before this; it is the net below it, and still in time for the client. */
--- a/src/main/java/junipercourse/core/Turns.java
+++ b/src/main/java/junipercourse/core/Turns.java
@@ -6,7 +6,7 @@
 import junipercourse.net.Loop;
 import org.tinylog.Logger;
 
-/** Gathers the events for the module: one turn tells all that have come by then, so that one settle serves them. */
+/** Gathers the events for the module: one turn tells all that have come, so that one settle serves them. */
 final class Turns {
     private static final double AFTER_FAULT_S = 0.05;
 
--- /dev/null
+++ b/src/main/java/junipercourse/engine/FetchCalls.java
@@ -0,0 +1,165 @@
+package junipercourse.engine;
+
+import junipercourse.liveness.AttemptEvidence;
+import junipercourse.net.Deadlines;
+import junipercourse.net.Loop;
+
+/**
+ * The calls of one attempt, one after the other, each with the time it has for its answer, and their
+ * connections: at most two, the second one for a DELETE beside a call that the engine holds. No other
+ * attempt ever uses them, so that all that comes there is about this query; its end closes them.
+ */
+final class FetchCalls implements EngineConnection.Owner {
+    /** The engine answers each call within a quarter of a second; one this late is lost. */
+    static final double ANSWER_S = 0.6;
+    /** Before a connection is used again: what an engine sends right behind an answer has come by then. */
+    static final double REST_S = 0.002;
+
+    private final Loop loop;
+    private final EnginePool pool;
+    private final AttemptEvidence evidence;
+    private EngineCall call;
+    private EngineCall ignored;
+    private EngineConnection kept;
+    private boolean ended;
+    private Deadlines.Entry timer;
+
+    FetchCalls(Loop loop, EnginePool pool, AttemptEvidence evidence) {
+        this.loop = loop;
+        this.pool = pool;
+        this.evidence = evidence;
+    }
+
+    /** Makes a call on the connection that is kept, if that is usable, or on a new one. */
+    void run(byte[] request, Step step, boolean starts) {
+        EngineCall mine = new EngineCall(request, step);
+        call = mine;
+        loop.cancel(timer);
+        timer = loop.after(ANSWER_S, () -> {
+            mine.drop();
+            step.failed();
+        });
+        EngineConnection reused = kept;
+        kept = null;
+        if (reused != null && reused.usable()) {
+            mine.run(reused);
+        } else {
+            pool.call(mine, starts, this);
+        }
+    }
+
+    @Override
+    public void free(EngineConnection connection) {
+        if (ended || kept != null) {
+            connection.close();
+        } else {
+            kept = connection;
+        }
+    }
+
+    /** Resets the connection that is kept: what came there last may be no answer to the last call. */
+    void reset() {
+        if (kept != null) {
+            kept.abort();
+            kept = null;
+        }
+    }
+
+    /** Does something later instead of waiting for an answer. */
+    void later(double delay, Runnable task) {
+        loop.cancel(timer);
+        timer = loop.after(delay, task);
+    }
+
+    /** Waits for nothing any more; the last call, if there was one, hears no more of its answer. */
+    void ignore() {
+        loop.cancel(timer);
+        if (call != null) {
+            call.ignore();
+            ignored = call;
+        }
+    }
+
+    /** Resets the connection of the ignored call, after a delay only if it has no answer then. */
+    void dropIgnored(double delay) {
+        if (delay > 0) {
+            loop.after(delay, ignored::drop);
+        } else {
+            ignored.drop();
+        }
+    }
+
+    /** Whether a call was ever made. */
+    boolean began() {
+        return call != null;
+    }
+
+    /** The attempt is over: closes its connections, with a reset where a call may still be on its way. */
+    void end() {
+        ended = true;
+        loop.cancel(timer);
+        if (ignored != null) {
+            ignored.drop();
+        }
+        if (call != null) {
+            call.drop();
+        }
+        if (kept != null) {
+            kept.close();
+        }
+    }
+
+    /** What all calls have in common. */
+    abstract static class Step implements EngineCall.Listener {
+        private final FetchCalls calls;
+        private boolean onTheWay;
+        private double writtenAt;
+
+        Step(FetchCalls calls) {
+            this.calls = calls;
+        }
+
+        @Override
+        public boolean mayWrite() {
+            onTheWay = true;
+            writtenAt = calls.loop.now();
+            calls.evidence.writing(writtenAt, calls.loop.attended());
+            return true;
+        }
+
+        /** Seconds since its first byte. */
+        final double age() {
+            return calls.loop.now() - writtenAt;
+        }
+
+        @Override
+        public final void over() {
+            if (onTheWay) {
+                onTheWay = false;
+                calls.evidence.over(calls.loop.now());
+            }
+        }
+
+        @Override
+        public final void answered(HttpResponse response, boolean sure) {
+            told(response, sure);
+        }
+
+        @Override
+        public final void broken() {
+            failed();
+        }
+
+        /** The engine has answered; {@code sure} as in {@link EngineCall.Listener#answered}. */
+        abstract void told(HttpResponse response, boolean sure);
+
+        /** The call brought nothing readable, and brings nothing more. */
+        abstract void failed();
+
+        /** No room for a connection: like one that broke. */
+        @Override
+        public void takenBack() {
+            failed();
+        }
+    }
+}
--- a/src/main/java/org/xnio/nio/ExistingTcpServer.java
+++ b/src/main/java/org/xnio/nio/ExistingTcpServer.java
@@ -10,8 +10,8 @@
 
 /**
  * Lets a worker accept on a listening socket that exists already. XNIO 3.8 opens server sockets of its own
- * only; this puts an existing one behind the very parts that {@code createStreamConnectionServer} makes, which
- * are visible in their package alone. That is why this one class stands here.
+ * only; this puts an existing one behind the very parts that {@code createStreamConnectionServer} makes. They
+ * are visible in their package alone, which is why this one class stands here.
  */
 public final class ExistingTcpServer {
     private ExistingTcpServer() { }
