--- a/src/main/java/junipercourse/ops/OutFiles.java
+++ b/src/main/java/junipercourse/ops/OutFiles.java
@@ -14,9 +14,9 @@
 
 /**
  * The engines that the staff have taken out, one empty file each in a folder of {@code $TMPDIR}: a file that
- * is there says that its engine is out, whatever it holds. So no file can be half written or damaged, an order
- * given twice is one, two processes beside each other never overwrite each other's orders, and all of it
- * outlives a process, also one that is killed.
+ * is there says that its engine is out, whatever it holds. So no file can be half written or damaged, an
+ * order given twice is one, two processes beside each other never overwrite each other's orders, and all of
+ * it outlives a process, also one that is killed.
  */
 public final class OutFiles {
     /** More than a list of engines holds, so that the folder cannot grow for good. */
--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -85,8 +85,8 @@
 
     /**
      * Leaves all newcomers to the other processes that accept from the socket: what waits in the kernel's
-     * queue is theirs, what was accepted is ours. Clients of ours that rest are sent to them, those that have not
-     * asked yet get their time to.
+     * queue is theirs, what was accepted is ours. Clients of ours that rest are sent to them, those that have
+     * not asked yet get their time to.
      *
      * @param empty runs once no client is left, which takes as long as their queries do
      */
