Split the simulator's wire into its numbers, its reader and its writer

Change: none in behaviour. Wire keeps the numbers and what they stand for, WireReader reads a batch's fields, WireWriter collects a reply. SimHost names the two instead of nested classes.

--- a/src/main/java/junipercourse/sim/SimHost.java
+++ b/src/main/java/junipercourse/sim/SimHost.java
@@ -32,7 +32,7 @@
     private final Map<Long, Dispatcher> instances = new HashMap<>();
     private final Map<Integer, List<Engine>> ledgers = new HashMap<>();
     private final Set<Long> touched = new LinkedHashSet<>();
-    private final Wire.Writer reply = new Wire.Writer();
+    private final WireWriter reply = new WireWriter();
     private final PrintStream errors;
     private long target = -1;
 
@@ -47,7 +47,7 @@
             byte[] body = nextBody(in);
             while (body != null) {
                 frame.reset();
-                answer(new Wire.Reader(body), frame);
+                answer(new WireReader(body), frame);
                 frame.writeTo(out);
                 out.flush();
                 body = nextBody(in);
@@ -78,7 +78,7 @@
         return body;
     }
 
-    private void answer(Wire.Reader in, ByteArrayOutputStream frame) {
+    private void answer(WireReader in, ByteArrayOutputStream frame) {
         double now = in.f64();
         long count = in.u32();
         long batch = in.u32();
@@ -108,7 +108,7 @@
         reply.finish(batch, frame);
     }
 
-    private void record(Wire.Reader in, double now, long batch) {
+    private void record(WireReader in, double now, long batch) {
         int at = in.position();
         int code = in.u16();
         switch (code) {
@@ -130,7 +130,7 @@
         }
     }
 
-    private void create(Wire.Reader in) {
+    private void create(WireReader in) {
         if (target < 0) {
             throw new WireException("Create before any TargetInstance at byte " + in.position());
         }
@@ -154,7 +154,7 @@
         touched.add(target);
     }
 
-    private void event(int code, Wire.Reader in, double now, Dispatcher d) {
+    private void event(int code, WireReader in, double now, Dispatcher d) {
         switch (code) {
             case Wire.FIRED -> d.timer(now, in.u32());
             case Wire.FIRST_BYTE -> {
@@ -179,7 +179,7 @@
         }
     }
 
-    private static Request request(Wire.Reader in) {
+    private static Request request(WireReader in) {
         RequestId id = new RequestId(in.u64());
         int marks = in.u8();
         int tenant = (int) in.u32();
@@ -193,7 +193,7 @@
                 (marks & 1) != 0 ? cost : Double.NaN, needMb, (marks & 2) != 0);
     }
 
-    private static AttemptEnd attemptEnd(Wire.Reader in) {
+    private static AttemptEnd attemptEnd(WireReader in) {
         RequestId id = new RequestId(in.u64());
         int attempt = in.u8();
         EngineId engine = new EngineId(in.u32());
@@ -205,7 +205,7 @@
                 Wire.memoryMb(note), in.report());
     }
 
-    private void roster(Wire.Reader in, double now, Dispatcher d) {
+    private void roster(WireReader in, double now, Dispatcher d) {
         int mode = in.u8();
         in.u32();
         int ledger = (int) in.u32();
@@ -223,7 +223,7 @@
         d.roster(now, kind, entries);
     }
 
-    private static void notice(Wire.Reader in, double now, Dispatcher d) {
+    private static void notice(WireReader in, double now, Dispatcher d) {
         RequestId id = new RequestId(in.u64());
         int attempt = in.u8();
         in.u32();
