Let old and new process share descriptors and places in hand while both run

Change: each process holds the lock of a numbered file in $TMPDIR and writes its descriptors there; each may grow by half of what is left. A process alone takes half of the clients' third in hand, two take the rest of it. Not taken: pid files (a pid is not a life), halves for both (an old one may hold more by then). The end's log line has the peaks of connections.

--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -55,6 +55,7 @@
     private final Gateway gateway;
     private final PgFront front;
     private final RosterClient roster;
+    private final Overlap overlap; // null where no socket is handed down
     private final Staff staff; // null without a second address: then nothing of it is loaded
 
     Server(Config config) throws IOException {
@@ -68,20 +69,25 @@
         Descriptors.Share clientShare = descriptors.share("clients", descriptors.free(), 0);
         EngineClient engines = new EngineClient(loop, config.settings(),
                 engineShare, counters);
+        int mostTaken = (int) (config.resources().sockets()
+                * (config.listenOn() == null ? TAKEN_PART : Overlap.ALONE_PART));
         gateway = new Gateway(loop, config.settings(), config.seed(),
-                (int) (config.resources().sockets() * TAKEN_PART), engines, counters);
+                mostTaken, engines, counters);
         Shows shows = Tables.of(loop, counters, descriptors);
         front = new PgFront(loop, config.settings(), gateway, clientShare,
                 (long) config.resources().memoryMb() * MEGABYTE / INPUT_PART, config.seed(), counters, shows);
         roster = new RosterClient(loop, config.bus(), config.known(), config.zones(),
                 config.settings().kinds().stream().map(Kind::name).toList(), gateway::roster, counters);
-        staff = administered ? new Staff(loop, gateway, config, folder(config)) : null;
+        staff = administered ? new Staff(loop, gateway, config, folder(config, "out")) : null;
+        overlap = config.listenOn() == null ? null
+                : new Overlap(loop, descriptors, gateway, (int) (config.resources().sockets() * TAKEN_PART),
+                        folder(config, "processes"));
     }
 
     /** For what outlives a process. Where dispatchers share {@code $TMPDIR}, names tell them apart. */
-    private static Path folder(Config config) {
+    private static Path folder(Config config, String what) {
         String tmp = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
-        return Path.of(tmp, "junipercourse-out-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
+        return Path.of(tmp, "junipercourse-" + what + "-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
     }
 
     /**
@@ -203,7 +209,7 @@
                 staff.ending();
             }
             ending.run();
-            Logger.info("{} ends: {}", config.name(), counters);
+            Logger.info("{} ends: {}; {}", config.name(), counters, descriptors);
             BoundedConsoleWriter.end();
         }, "finish"));
     }
@@ -225,6 +231,9 @@
         if (staff != null) {
             staff.close();
         }
+        if (overlap != null) {
+            overlap.close();
+        }
         loop.stop();
     }
 }
--- a/src/main/java/junipercourse/core/Gateway.java
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -142,6 +142,11 @@
         tellOfEngines(kind, engines.news(kind, members));
     }
 
+    /** Bounds the queries in hand from now on, as the constructor does. */
+    public void takeAtMost(int queries) {
+        module.takeAtMost(queries);
+    }
+
     /** Which engines the staff have taken out by hand: they are draining here, whatever the list says. */
     public void takenOut(Set<EngineId> ids) {
         List<Member> changed = engines.out(ids, loop.now());
--- a/src/main/java/junipercourse/net/Descriptors.java
+++ b/src/main/java/junipercourse/net/Descriptors.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.StringJoiner;
 
 /**
  * The descriptors of the process: each share of them has its bound, and all bounds together stay below the
@@ -15,6 +16,7 @@
     private final int own;
     private final List<Share> shares = new ArrayList<>();
     private int given;
+    private int most;
 
     /**
      * @param limit what the process may hold
@@ -27,6 +29,20 @@
         }
         this.limit = limit;
         this.own = own;
+        this.most = limit;
+    }
+
+    /** What is open or closing now, with all that is our own. */
+    public int used() {
+        return own + shares.stream().mapToInt(s -> s.open + s.closing).sum();
+    }
+
+    /**
+     * Another process shares the limit, and has so many; -1: none does. Each may grow by half of what is left
+     * at its look, so that both together stay below the limit whoever grows first.
+     */
+    public void beside(int others) {
+        most = others < 0 ? limit : used() + Math.max(0, limit - used() - others) / 2;
     }
 
     /** What is not promised to any share yet. */
@@ -50,6 +66,14 @@
         return List.copyOf(shares);
     }
 
+    /** The peak of each share, in one line. */
+    @Override
+    public String toString() {
+        StringJoiner out = new StringJoiner(" ");
+        shares.forEach(s -> out.add("most_" + s.name + "=" + s.peak + "/" + s.most));
+        return out.toString();
+    }
+
     public int limit() {
         return limit;
     }
@@ -58,8 +82,12 @@
         return own;
     }
 
+    private int leftOfAll() {
+        return most == limit ? Integer.MAX_VALUE : most - used();
+    }
+
     /** One part, with one user, who takes before he opens and says when he closes. */
-    public static final class Share {
+    public final class Share {
         private final String name;
         private final int most;
         private final int slack;
@@ -76,7 +104,7 @@
 
         /** How many more may be opened now. */
         public int room() {
-            return most - open - Math.max(0, closing - slack);
+            return Math.min(most - open - Math.max(0, closing - slack), leftOfAll());
         }
 
         /** Takes one; false if none is left. */
