--- a/src/main/java/junipercourse/cli/Ending.java
+++ b/src/main/java/junipercourse/cli/Ending.java
@@ -47,7 +47,7 @@
             }
             loop.after(answeredAfter, () -> {
                 untilIdle();
-                gateway.answerAll();
+                gateway.lastAnswers().answerAll();
             });
         });
         try {
@@ -59,7 +59,7 @@
 
     /** What comes on connections that were open before is started at once, or sent on as well. */
     private void handOver() {
-        gateway.handOver();
+        gateway.lastAnswers().handOver();
         loop.after(HAND_OVER_S, this::handOver);
     }
 
--- a/src/main/java/junipercourse/cli/Overlap.java
+++ b/src/main/java/junipercourse/cli/Overlap.java
@@ -12,14 +12,14 @@
 import org.tinylog.Logger;
 
 /**
- * While two processes of one dispatcher run beside each other, they count as one (DAYS, replacing the process):
- * the descriptors that are left are shared out between them, and so are the places for queries in hand, since
- * clients hold at most a third of all descriptors with both. Only there where a socket is handed down.
+ * While two processes of one dispatcher run beside each other, they count as one (DAYS, replacing the
+ * process): the descriptors that are left are shared out between them, and so are the places for queries in
+ * hand, since clients hold at most a third of all descriptors with both. Only where a socket is handed down.
  */
 final class Overlap implements Closeable {
     /**
-     * Of all descriptors: queries in hand of a process that is alone, half of the third that clients may open.
-     * It may be replaced at any time, and what it has started then stays connected beside its successor's.
+     * Of all descriptors: queries in hand of a process that is alone, half of what clients may open.
+     * It may be replaced at any time; what it has started then stays connected beside its successor's.
      */
     static final double ALONE_PART = 0.5 / 3;
     /** Between looks; a new process says that it is ready some tenths of a second after its start. */
@@ -70,7 +70,7 @@
 
     private void take(int found) {
         if (found < 0 != others < 0) {
-            Logger.info(found < 0 ? "this process is alone" : "another process of this dispatcher runs beside");
+            Logger.info(found < 0 ? "this process is alone" : "another process runs beside this one");
             gateway.takeAtMost(found < 0 ? alone : beside);
         }
         others = found;
--- a/src/main/java/junipercourse/cli/Staff.java
+++ b/src/main/java/junipercourse/cli/Staff.java
@@ -94,9 +94,10 @@
 
     private void publish() {
         String why = ending ? "ending" : !listening ? "not listening yet"
-                : !gateway.knowsEngines() ? "no list of engines yet"
+                : !gateway.engines().known() ? "no list of engines yet"
                 : loop.catchingUp() ? "catching up after a stall" : "serving";
-        state = new State(why.equals("serving"), why, figures(), gateway.engines(), System.nanoTime());
+        state = new State(why.equals("serving"), why, figures(), gateway.engines().listed(),
+                System.nanoTime());
         if (!publishing) {
             publishing = true;
             publishLater();
@@ -114,8 +115,8 @@
         ClassFigures f = gateway.figures();
         return new JsonObject().add("passed", byClass(f::passedOf)).add("dropped", byClass(f::droppedOf))
                 .add("bad_gateway", byClass(f::failedOf)).add("upstream_tries", byClass(f::triesOf))
-                .add("in_progress", gateway.open()).add("known_engines", gateway.engines().size())
-                .add("skipped_engines", gateway.skippedEngines()).toString();
+                .add("in_progress", gateway.open()).add("known_engines", gateway.engines().listed().size())
+                .add("skipped_engines", gateway.engines().skipped()).toString();
     }
 
     private JsonObject byClass(IntToLongFunction count) {
@@ -132,7 +133,7 @@
         if (!now.equals(out)) {
             out = now;
             Logger.info("engines taken out by hand: {}", now.stream().map(EngineId::value).toList());
-            loop.execute(() -> gateway.takenOut(now));
+            loop.execute(() -> gateway.engines().takenOut(now));
         }
         forget(now);
     }
--- /dev/null
+++ b/src/main/java/junipercourse/core/Engines.java
@@ -0,0 +1,70 @@
+package junipercourse.core;
+
+import java.util.List;
+import java.util.Set;
+import junipercourse.core.Backend.Member;
+import junipercourse.core.Counters.Count;
+import junipercourse.decision.DispatchApi.Engine;
+import junipercourse.decision.DispatchApi.EngineId;
+import junipercourse.decision.DispatchApi.RosterKind;
+import junipercourse.decision.Dispatcher;
+import junipercourse.net.Loop;
+
+/** Tells the back end and the module of engines: as the bus lists them, less what the staff took out. */
+public final class Engines {
+    private final Loop loop;
+    private final Backend backend;
+    private final Dispatcher module;
+    private final Turns turns;
+    private final Counters counters;
+    private final EngineList list = new EngineList();
+
+    Engines(Loop loop, Backend backend, Dispatcher module, Turns turns, Counters counters) {
+        this.loop = loop;
+        this.backend = backend;
+        this.module = module;
+        this.turns = turns;
+        this.counters = counters;
+    }
+
+    void roster(RosterKind kind, List<Member> members) {
+        counters.add(Count.ROSTER_EVENTS);
+        tell(kind, list.news(kind, members));
+    }
+
+    /** Which engines the staff have taken out by hand: they are draining here, whatever the list says. */
+    public void takenOut(Set<EngineId> ids) {
+        List<Member> changed = list.out(ids, loop.now());
+        if (!changed.isEmpty()) {
+            tell(RosterKind.DELTA, changed);
+        }
+    }
+
+    /** The back end knows of it before anything more is sent. */
+    private void tell(RosterKind kind, List<Member> members) {
+        backend.roster(kind, members);
+        turns.event(now -> module.roster(now, kind,
+                members.stream().map(m -> onLoopTime(m.engine())).toList()));
+    }
+
+    /** The list gives starts in Unix time, which may have stepped since this process began. */
+    private Engine onLoopTime(Engine e) {
+        return e.startedAt() <= 0 ? e : new Engine(e.id(), e.zone(), e.kind(), e.cell(), e.stage(),
+                e.rating(), loop.fromUnix(e.startedAt()));
+    }
+
+    /** The engines in the list; none before the first list has come. */
+    public Set<EngineId> listed() {
+        return list.ids();
+    }
+
+    /** Whether a list of engines has come, be it an empty one. */
+    public boolean known() {
+        return list.told();
+    }
+
+    /** How many listed engines get nothing new, whether by hand or by the module's choice. */
+    public int skipped() {
+        return list.skipped(Set.copyOf(module.leftOut()));
+    }
+}
--- a/src/main/java/junipercourse/engine/Fetch.java
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -113,8 +113,6 @@
         }
     }
 
-    // ---- news ----
-
     private final class Poll extends Asking {
         @Override
         void failed() {
@@ -202,8 +200,6 @@
         return new End(outcome, gauges.read(response.header("x-gauges")), 0, 0, List.of());
     }
 
-    // ---- pages ----
-
     private void goodEnd(HttpResponse response) {
         evidence.heard();
         goodEnd = response;
@@ -226,8 +222,6 @@
         }
     }
 
-    // ---- giving up ----
-
     @Override
     public void giveUp(Outcome as) {
         if (over || givenUpAs != null) {
--- a/src/main/java/junipercourse/net/Descriptors.java
+++ b/src/main/java/junipercourse/net/Descriptors.java
@@ -16,7 +16,7 @@
     private final int own;
     private final List<Share> shares = new ArrayList<>();
     private int given;
-    private int most;
+    private int allowed;
 
     /**
      * @param limit what the process may hold
@@ -29,7 +29,7 @@
         }
         this.limit = limit;
         this.own = own;
-        this.most = limit;
+        this.allowed = limit;
     }
 
     /** What is open or closing now, with all that is our own. */
@@ -42,7 +42,7 @@
      * at its look, so that both together stay below the limit whoever grows first.
      */
     public void beside(int others) {
-        most = others < 0 ? limit : used() + Math.max(0, limit - used() - others) / 2;
+        allowed = others < 0 ? limit : used() + Math.max(0, limit - used() - others) / 2;
     }
 
     /** What is not promised to any share yet. */
@@ -83,7 +83,7 @@
     }
 
     private int leftOfAll() {
-        return most == limit ? Integer.MAX_VALUE : most - used();
+        return allowed == limit ? Integer.MAX_VALUE : allowed - used();
     }
 
     /** One part, with one user, who takes before he opens and says when he closes. */
--- a/src/main/java/junipercourse/ops/Neighbours.java
+++ b/src/main/java/junipercourse/ops/Neighbours.java
@@ -12,11 +12,11 @@
 
 /**
  * The processes of one dispatcher that run at a time, while one replaces the other: each holds the lock of a
- * numbered file in the folder that they share, and writes there how many descriptors it has. The system gives a
- * lock back however its process ends, so that nobody is counted who is gone, and no pid is ever trusted.
+ * numbered file in the folder that they share, and writes there how many descriptors it has. The system gives
+ * a lock back however its process ends, so that nobody is counted who is gone, and no pid is ever trusted.
  */
 public final class Neighbours implements Closeable {
-    /** More processes of one dispatcher are never started; those beyond find no number and are not counted. */
+    /** More processes of one dispatcher are never started: the next one finds no number and ends. */
     private static final int MOST = 8;
     private final Path folder;
     private final FileChannel mine;
