--- /dev/null
+++ b/src/main/java/junipercourse/fleet/view/Statement.java
@@ -0,0 +1,106 @@
+package junipercourse.fleet.view;
+
+/**
+ * What is so about one life. Idempotent: it may be lost, doubled, late or out of order.
+ *
+ * <p>Statements about one name are joined by taking the greatest ({@link #compareTo}): the higher incarnation;
+ * within a life {@code LEFT}, which only its subject says; then the higher version; then the graver standing;
+ * and last address and zone, so that any two members settle on the same one.
+ *
+ * <p>Versions of a life are counted up by two, by its subject alone: it refutes a suspicion by the next even
+ * version. An odd version is said by others, of an unreachable or left life after a stated time: it is
+ * <em>forgotten</em>, shown no more and not counted in the digest. Being the greater statement, it also keeps
+ * old words from bringing the life back; its subject can, with the next even version.
+ *
+ * @param address {@code host:port} that others send to; at most {@link #ADDRESS_MOST} characters
+ * @param zone the zone it runs in; may be empty
+ */
+public record Statement(String name, long incarnation, long version, Standing standing, String address,
+        String zone) implements Comparable<Statement> {
+    /** Most characters of a name. */
+    public static final int NAME_MOST = 40;
+    /** Most characters of an address: a numeric IPv6 address in brackets, a colon and a port. */
+    public static final int ADDRESS_MOST = 48;
+    /** Most characters of a zone. */
+    public static final int ZONE_MOST = 40;
+    /** What a statement takes in a datagram beyond its texts: tags, lengths, two numbers, the standing. */
+    static final int BYTES_OVER = 32;
+
+    /** Fails with IllegalArgumentException, naming the key, for texts that are too long or not plain ASCII. */
+    public Statement {
+        text("name", name, NAME_MOST, 1);
+        text("address", address, ADDRESS_MOST, 1);
+        text("zone", zone, ZONE_MOST, 0);
+        if (incarnation < 0) {
+            throw new IllegalArgumentException("incarnation: " + incarnation + " is below 0");
+        }
+        if (version < 0) {
+            throw new IllegalArgumentException("version: " + version + " is below 0");
+        }
+        if (standing == null) {
+            throw new IllegalArgumentException("standing: is missing");
+        }
+    }
+
+    /** Checks a text of a statement; the error begins with {@code key}. */
+    static void text(String key, String value, int most, int least) {
+        if (value == null || value.length() < least || value.length() > most) {
+            throw new IllegalArgumentException(key + ": " + least + " to " + most + " characters are allowed, got "
+                + (value == null ? "none" : value.length()));
+        }
+        for (int i = 0; i < value.length(); i++) {
+            if (value.charAt(i) <= ' ' || value.charAt(i) > '~') {
+                throw new IllegalArgumentException(key + ": character " + (i + 1) + " is not visible ASCII");
+            }
+        }
+    }
+
+    /** The life that this is about. */
+    public Member member() {
+        return new Member(name, incarnation);
+    }
+
+    /** Whether it says that the life was unreachable or left for so long that it is shown no more. */
+    public boolean forgotten() {
+        return (version & 1) == 1;
+    }
+
+    /** Whether the life counts as one that can be talked to: {@code ALIVE} or {@code SUSPECT}. */
+    public boolean present() {
+        return standing == Standing.ALIVE || standing == Standing.SUSPECT;
+    }
+
+    /** Most bytes that it takes in a datagram. */
+    public int bytes() {
+        return BYTES_OVER + name.length() + address.length() + zone.length();
+    }
+
+    Statement with(Standing next) {
+        return new Statement(name, incarnation, version, next, address, zone);
+    }
+
+    Statement with(long nextVersion) {
+        return new Statement(name, incarnation, nextVersion, standing, address, zone);
+    }
+
+    @Override
+    public int compareTo(Statement other) {
+        int order = name.compareTo(other.name);
+        if (order == 0) {
+            order = Long.compare(incarnation, other.incarnation);
+        }
+        if (order == 0) {
+            order = Boolean.compare(standing == Standing.LEFT, other.standing == Standing.LEFT);
+        }
+        if (order == 0) {
+            order = Long.compare(version, other.version);
+        }
+        if (order == 0) {
+            order = standing.compareTo(other.standing);
+        }
+        if (order == 0) {
+            order = address.compareTo(other.address);
+        }
+        return order == 0 ? zone.compareTo(other.zone) : order;
+    }
+}
