--- a/src/main/java/junipercourse/cli/Main.java
+++ b/src/main/java/junipercourse/cli/Main.java
@@ -16,11 +16,15 @@
     private static final int FAILED = 1;
     private static final int WRONG = 2;
     private static final String SERVE = "serve";
+    private static final String PRODUCT = "JUNIPER_PRODUCT";
 
     private Main() { }
 
     @Parameters(commandNames = SERVE, commandDescription = "runs one dispatcher, as RELAY_CONFIG tells it")
-    private static final class Serve { }
+    private static final class Serve {
+        @Parameter(names = "--product", description = "the product file; goes before JUNIPER_PRODUCT")
+        private String product = System.getenv(PRODUCT);
+    }
 
     @Parameters(commandNames = "simhost", commandDescription = "hosts instances on the simulator's wire")
     private static final class SimHostCommand { }
@@ -51,12 +55,13 @@
     }
 
     static int run(String[] args) {
-        if (args.length == 1 && args[0].equals(SERVE)) {
-            return carryOut(SERVE); // the parser would take a tenth of a start, and there is nothing to parse
+        if (args.length == 1 && args[0].equals(SERVE) && System.getenv(PRODUCT) == null) {
+            return carryOut(SERVE, null); // the parser would take a tenth of a start, and there is nothing to parse
         }
         Options options = new Options();
+        Serve serve = new Serve();
         JCommander commands = JCommander.newBuilder().programName("junipercourse").addObject(options)
-                .addCommand(new Serve()).addCommand(new SimHostCommand()).addCommand(new Check())
+                .addCommand(serve).addCommand(new SimHostCommand()).addCommand(new Check())
                 .addCommand(new Rehearse()).addCommand(new Version()).build();
         try {
             commands.parse(args);
@@ -70,12 +75,12 @@
             System.out.print(usage);
             return options.help ? 0 : WRONG;
         }
-        return carryOut(commands.getParsedCommand());
+        return carryOut(commands.getParsedCommand(), serve.product);
     }
 
-    private static int carryOut(String command) {
+    private static int carryOut(String command, String product) {
         try {
-            return execute(command);
+            return execute(command, product);
         } catch (ConfigException e) {
             System.err.println("junipercourse: configuration: " + e.getMessage());
             return WRONG;
@@ -85,10 +90,13 @@
         }
     }
 
-    private static int execute(String command) throws IOException {
+    private static int execute(String command, String product) throws IOException {
         switch (command) {
             case SERVE -> {
                 NoManagement.demand();
+                if (product != null) {
+                    return ServeWithProduct.run(product, System.getenv());
+                }
                 Server server = new Server(Config.read(System.getenv()));
                 server.reloadOnHangUp(System.getenv());
                 server.start();
--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -15,6 +15,7 @@
 import junipercourse.core.Counters;
 import junipercourse.core.Counters.Count;
 import junipercourse.core.Gateway;
+import junipercourse.core.Part;
 import junipercourse.core.Shows;
 import junipercourse.decision.DispatchApi.Kind;
 import junipercourse.engine.EngineClient;
@@ -58,9 +59,16 @@
     private final Gateway gateway;
     private final PgFront front;
     private final RosterClient roster;
+    private final Part part; // null in most installations
 
     Server(Config config) throws IOException {
+        this(config, null);
+    }
+
+    /** With a part that only some installations have, or null. */
+    Server(Config config, Part part) throws IOException {
         this.config = config;
+        this.part = part;
         loop = new Loop(() -> counters.add(Count.INTERNAL_ERRORS), Server::die);
         descriptors = new Descriptors(config.resources().sockets(), OWN_SOCKETS);
         int toEngines = (int) (descriptors.free() * ENGINE_PART);
@@ -74,6 +82,9 @@
         counters.showIn(shows);
         shows.add("stalls", this::stalls, "figure", "value", "unit");
         shows.add("descriptors", this::descriptors, "share", "figure", "count");
+        if (part != null) {
+            part.showIn(shows);
+        }
         front = new PgFront(loop, config.settings(), gateway, clientShare,
                 (long) config.resources().memoryMb() * MEGABYTE / INPUT_PART, config.seed(), counters, shows);
         roster = new RosterClient(loop, config.bus(), config.known(), config.zones(),
@@ -130,6 +141,9 @@
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while starting", e);
         }
+        if (part != null) {
+            part.start();
+        }
         Logger.info("{} listens on {}", config.name(), front.address());
     }
 
@@ -224,6 +238,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (part != null) {
+            part.end();
+        }
         Logger.info("{} ends: {}", config.name(), counters);
         BoundedConsoleWriter.end();
     }
--- /dev/null
+++ b/src/main/java/junipercourse/core/Part.java
@@ -0,0 +1,13 @@
+package junipercourse.core;
+
+/** A part of the program that only some installations have. Queries never wait for it. */
+public interface Part {
+    /** Adds its tables. */
+    void showIn(Shows shows);
+
+    /** Called once clients can connect; returns at once. */
+    void start();
+
+    /** Called after the last answer, before the process ends; waits for a part of a second at most. */
+    void end();
+}
--- /dev/null
+++ b/src/main/java/junipercourse/fleet/Fleet.java
@@ -0,0 +1,169 @@
+package junipercourse.fleet;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import junipercourse.core.Part;
+import junipercourse.core.Shows;
+import junipercourse.fleet.link.FleetLink;
+import junipercourse.fleet.view.Out;
+import junipercourse.fleet.view.Snapshot;
+import junipercourse.fleet.view.View;
+import junipercourse.fleet.view.Word;
+import junipercourse.liveness.Attention;
+import junipercourse.net.Clock;
+import junipercourse.product.FleetPart;
+import org.tinylog.Logger;
+
+/**
+ * What this dispatcher knows of the others: a thread that alone owns the {@link View}, the link to the others
+ * beside it, and the newest snapshot for everybody else. Nothing that serves queries ever waits for either. A
+ * failure here ends the view, is logged and shown, and leaves the dispatcher as it is.
+ */
+public final class Fleet implements Part {
+    /** Longest sleep, so that a gap of our own shows. */
+    private static final double PARK_MOST_S = 0.1;
+    /** A wake-up that comes later than asked by so much is a stall; the system's own delays are shorter. */
+    private static final double STALL_S = 0.15;
+    /** After a stall, for the link thread to read what lies at the socket before anything is judged. */
+    private static final double READ_FIRST_S = 0.02;
+    /** What the view says on leaving is said again by its timers for so long. */
+    private static final double LEAVE_S = 0.15;
+    /** Longest wait for that at the end of the process. */
+    private static final long END_MS = 250;
+    private static final int MOST_AT_ONCE = 1024;
+
+    private final FleetLink link;
+    private final View view;
+    private final Attention attention;
+    private final FleetTable table;
+    private final Thread thread = new Thread(this::run, "fleet");
+    private final CountDownLatch over = new CountDownLatch(1);
+    private volatile Snapshot snapshot;
+    private volatile String failure;
+    private volatile boolean ending;
+    private volatile long stalls;
+
+    /**
+     * Opens the link's socket; nothing is sent before {@link #start}.
+     *
+     * @param name this process's, by which its lives are told apart
+     * @throws IOException if the address cannot be had at all
+     */
+    public Fleet(String name, long seed, FleetPart part) throws IOException {
+        link = new FleetLink(part.name(), part.listen(), part.bounds(), line -> Logger.warn("fleet: {}", line));
+        view = new View(part.view(), name, part.advertise(), part.zone(), part.seeds(), seed, new Actions());
+        attention = new Attention(PARK_MOST_S, STALL_S, Double.MAX_VALUE, now(), now());
+        table = new FleetTable(part, link);
+        thread.setDaemon(true);
+    }
+
+    /** What the view wants done; called on the fleet thread. */
+    private final class Actions implements Out {
+        @Override
+        public void send(String address, Word word) {
+            link.send(address, word);
+        }
+
+        @Override
+        public void changed(Snapshot next) {
+            snapshot = next;
+        }
+
+        @Override
+        public void log(String line) {
+            Logger.info("fleet: {}", line);
+        }
+    }
+
+    private static double now() {
+        return Clock.SYSTEM.monotonic();
+    }
+
+    /** The newest snapshot, on any thread; null before the first and after a failure. */
+    public Snapshot snapshot() {
+        return snapshot;
+    }
+
+    @Override
+    public void showIn(Shows shows) {
+        shows.add("fleet", rows -> table.fill(rows, snapshot, failure, stalls, now()), FleetTable.COLUMNS);
+    }
+
+    @Override
+    public void start() {
+        thread.start();
+        link.start(thread);
+    }
+
+    /** Says that this life has left, and ends the thread. */
+    @Override
+    public void end() {
+        ending = true;
+        LockSupport.unpark(thread);
+        try {
+            if (!over.await(END_MS, TimeUnit.MILLISECONDS)) {
+                Logger.warn("fleet: could not say in time that this process leaves");
+            }
+            link.close();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            Logger.warn("fleet: the link did not close: {}", e);
+        }
+    }
+
+    private void run() {
+        try {
+            double now = now();
+            attention.restart(now);
+            view.start(now);
+            double left = Double.POSITIVE_INFINITY;
+            double judgeFrom = now;
+            while (now < left + LEAVE_S) {
+                judgeFrom = turn(now, judgeFrom);
+                if (ending && left > now) {
+                    view.leave(now);
+                    left = now;
+                }
+                park(Math.max(view.next(), judgeFrom) - now);
+                now = now();
+            }
+        } catch (RuntimeException e) {
+            failure = e.toString();
+            snapshot = null; // nobody is to take what grows old for what is so
+            Logger.error(e, "fleet: the view has failed; this dispatcher goes on without it");
+        } finally {
+            over.countDown();
+        }
+    }
+
+    /** One turn; returns from when on timers may be looked at. */
+    private double turn(double now, double judgeFrom) {
+        double from = judgeFrom;
+        Attention.Stall stall = attention.turn(now);
+        if (stall != null) {
+            stalls++;
+            view.stalled(now, stall.length());
+            from = now + READ_FIRST_S;
+        }
+        for (int i = 0; i < MOST_AT_ONCE; i++) {
+            FleetLink.Mail mail = link.poll();
+            if (mail == null) {
+                break;
+            }
+            view.heard(now, mail.address(), mail.word());
+        }
+        if (now >= from && now >= view.next()) {
+            view.tick(now);
+        }
+        return from;
+    }
+
+    private static void park(double seconds) {
+        if (seconds > 0) {
+            LockSupport.parkNanos((long) (Math.min(seconds, PARK_MOST_S) * 1e9));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/product/FleetReader.java
@@ -0,0 +1,110 @@
+package junipercourse.product;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import junipercourse.config.Config;
+import junipercourse.fleet.link.Bounds;
+import junipercourse.fleet.view.Settings;
+import org.xml.sax.Attributes;
+import org.xml.sax.helpers.DefaultHandler;
+
+/** Makes the fleet's part from the elements that the schema has let through; defaults are given here. */
+final class FleetReader extends DefaultHandler {
+    private static final Bounds DEFAULT = new Bounds(64 * 1024, 256 * 1024, 2000, 10_000, 512);
+
+    private final FaultList faults;
+    private final Map<String, Map<String, String>> given = new HashMap<>();
+    private final List<String> seeds = new ArrayList<>();
+    private FleetPart fleet;
+
+    FleetReader(FaultList faults) {
+        this.faults = faults;
+    }
+
+    /** The part, or null if the file has none. */
+    FleetPart fleet() {
+        return fleet;
+    }
+
+    @Override
+    public void startElement(String uri, String local, String name, Attributes attributes) {
+        Map<String, String> all = new HashMap<>();
+        for (int i = 0; i < attributes.getLength(); i++) {
+            all.put(attributes.getLocalName(i), attributes.getValue(i));
+        }
+        given.put(local, all);
+        if (local.equals("seed") && all.containsKey("address")) {
+            try {
+                address(all.get("address"));
+                seeds.add(all.get("address"));
+            } catch (IllegalArgumentException e) {
+                faults.add("address: " + e.getMessage());
+            }
+        }
+    }
+
+    @Override
+    public void endElement(String uri, String local, String name) {
+        if (local.equals("fleet") && faults.faults().isEmpty()) {
+            try {
+                fleet = part(given.get("fleet"));
+            } catch (IllegalArgumentException e) {
+                faults.add(e.getMessage());
+            }
+        }
+    }
+
+    private FleetPart part(Map<String, String> all) {
+        InetSocketAddress listen = address(all.get("listen"));
+        String advertise = all.get("advertise");
+        if (advertise == null && (listen.getPort() == 0 || listen.getAddress().isAnyLocalAddress())) {
+            throw new IllegalArgumentException("advertise: missing; others cannot send to " + all.get("listen"));
+        }
+        if (advertise != null) {
+            address(advertise);
+        }
+        return new FleetPart(all.get("name"), listen, advertise == null ? all.get("listen") : advertise,
+                all.getOrDefault("zone", ""), List.copyOf(seeds), bounds(), view());
+    }
+
+    private static InetSocketAddress address(String text) {
+        return Config.address(text, text);
+    }
+
+    private Bounds bounds() {
+        return new Bounds(value("bounds", "peer-rate", Units::bytesPerSecond, DEFAULT.peerBytes()),
+                value("bounds", "rate", Units::bytesPerSecond, DEFAULT.allBytes()),
+                value("bounds", "peer-datagrams", Units::perSecond, DEFAULT.sourceDatagrams()),
+                value("bounds", "datagrams", Units::perSecond, DEFAULT.allDatagrams()),
+                (int) value("bounds", "ring", Double::parseDouble, DEFAULT.ring()));
+    }
+
+    private Settings view() {
+        Settings d = Settings.defaults();
+        return new Settings(d.beat(), time("probe-interval", d.probeInterval()),
+                time("probe-timeout", d.probeTimeout()), d.indirectProbes(),
+                time("suspicion-min", d.suspicionMin()), time("suspicion-max", d.suspicionMax()),
+                d.healthMost(), d.lonely(), time("reach-interval", d.reachInterval()),
+                time("sync-interval", d.syncInterval()), d.joinWait(), d.joinMost(), d.rivalWait(),
+                time("forget-unreachable", d.forgetUnreachable()), time("forget-left", d.forgetLeft()),
+                (int) value("bounds", "members", Double::parseDouble, d.members()), d.tombs(), d.statements(),
+                d.lambda());
+    }
+
+    private double time(String key, double fallback) {
+        return value("times", key, Units::seconds, fallback);
+    }
+
+    private double value(String element, String key, ToDoubleFunction<String> unit, double fallback) {
+        String text = given.getOrDefault(element, Map.of()).get(key);
+        try {
+            return text == null ? fallback : unit.applyAsDouble(text);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(element + ": " + key + ": " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/product/ProductFaults.java
@@ -0,0 +1,19 @@
+package junipercourse.product;
+
+import java.util.List;
+
+/** A product file that cannot be used, with all that is wrong in it: {@code file:line:column: element: what}. */
+public final class ProductFaults extends Exception {
+    private static final long serialVersionUID = 1;
+    private final transient List<String> faults;
+
+    ProductFaults(List<String> faults) {
+        super(String.join("\n", faults));
+        this.faults = List.copyOf(faults);
+    }
+
+    /** One line each, in the file's order. */
+    public List<String> faults() {
+        return faults;
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/product/ProductReader.java
@@ -0,0 +1,96 @@
+package junipercourse.product;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.URL;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import javax.xml.XMLConstants;
+import javax.xml.parsers.ParserConfigurationException;
+import javax.xml.parsers.SAXParserFactory;
+import javax.xml.validation.SchemaFactory;
+import javax.xml.validation.ValidatorHandler;
+import org.xml.sax.InputSource;
+import org.xml.sax.SAXException;
+import org.xml.sax.SAXParseException;
+import org.xml.sax.XMLReader;
+
+/**
+ * Reads a product file with the JDK's parser and the schema in the jar. No document type, no outside entity and
+ * no more than {@link #MOST_BYTES} are taken. All faults are told at once; of a file with any, nothing is used.
+ */
+public final class ProductReader {
+    /** Longest file that is read. */
+    public static final int MOST_BYTES = 1 << 20;
+    private static final String SCHEMA = "product.xsd";
+    private static final String NO_DOCTYPE = "http://apache.org/xml/features/disallow-doctype-decl";
+    private static final String LOCALE = "http://apache.org/xml/properties/locale";
+
+    private ProductReader() { }
+
+    /**
+     * Reads and checks it.
+     *
+     * @throws ProductFaults with all that is wrong
+     */
+    public static Product read(String file) throws ProductFaults {
+        byte[] bytes;
+        try (InputStream in = Files.newInputStream(Path.of(file))) {
+            bytes = in.readNBytes(MOST_BYTES + 1);
+        } catch (IOException | InvalidPathException e) {
+            throw new ProductFaults(List.of(file + ":1:1: document: cannot be read: " + e));
+        }
+        if (bytes.length > MOST_BYTES) {
+            throw new ProductFaults(List.of(file + ":1:1: document: over " + MOST_BYTES + " bytes"));
+        }
+        return parse(file, bytes);
+    }
+
+    static Product parse(String file, byte[] bytes) throws ProductFaults {
+        FaultList faults = new FaultList(file);
+        FleetReader fleet = new FleetReader(faults);
+        try {
+            ValidatorHandler validator = validator();
+            validator.setErrorHandler(faults);
+            validator.setContentHandler(fleet);
+            faults.setContentHandler(validator);
+            XMLReader reader = reader();
+            reader.setContentHandler(faults);
+            reader.setErrorHandler(faults);
+            reader.parse(new InputSource(new ByteArrayInputStream(bytes)));
+        } catch (SAXParseException e) {
+            if (faults.faults().isEmpty()) {
+                throw new IllegalStateException(e); // each is told before it is thrown
+            }
+        } catch (SAXException | ParserConfigurationException | IOException e) {
+            throw new ProductFaults(List.of(file + ":1:1: document: cannot be read: " + e));
+        }
+        if (!faults.faults().isEmpty()) {
+            throw new ProductFaults(faults.faults());
+        }
+        return new Product(fleet.fleet());
+    }
+
+    private static XMLReader reader() throws SAXException, ParserConfigurationException {
+        SAXParserFactory factory = SAXParserFactory.newDefaultNSInstance();
+        factory.setFeature(XMLConstants.FEATURE_SECURE_PROCESSING, true);
+        factory.setFeature(NO_DOCTYPE, true);
+        XMLReader reader = factory.newSAXParser().getXMLReader();
+        reader.setProperty(LOCALE, Locale.ENGLISH);
+        return reader;
+    }
+
+    private static ValidatorHandler validator() throws SAXException {
+        SchemaFactory factory = SchemaFactory.newDefaultInstance();
+        factory.setProperty(XMLConstants.ACCESS_EXTERNAL_DTD, "");
+        factory.setProperty(XMLConstants.ACCESS_EXTERNAL_SCHEMA, "");
+        URL schema = ProductReader.class.getResource(SCHEMA);
+        ValidatorHandler validator = factory.newSchema(schema).newValidatorHandler();
+        validator.setProperty(LOCALE, Locale.ENGLISH); // the messages are read by FaultList
+        return validator;
+    }
+}
--- /dev/null
+++ b/src/main/java/junipercourse/product/Units.java
@@ -0,0 +1,43 @@
+package junipercourse.product;
+
+import java.util.Map;
+
+/** Values with their units, such as {@code 250ms}, {@code 64KB/s} and {@code 2000/s}. */
+final class Units {
+    private static final Map<String, Double> SECONDS = Map.of("ms", 1e-3, "s", 1.0, "min", 60.0, "h", 3600.0);
+    private static final Map<String, Double> BYTES = Map.of("B/s", 1.0, "KB/s", 1024.0, "MB/s", 1048576.0);
+
+    private Units() { }
+
+    /** A time in seconds; an IllegalArgumentException says what would be right. */
+    static double seconds(String text) {
+        return value(text, SECONDS, "a time, such as 250ms, 1.5s, 2min or 1h");
+    }
+
+    /** Bytes a second. */
+    static double bytesPerSecond(String text) {
+        return value(text, BYTES, "a rate, such as 900B/s, 64KB/s or 1MB/s");
+    }
+
+    /** A count a second. */
+    static double perSecond(String text) {
+        return value(text, Map.of("/s", 1.0), "a rate, such as 2000/s");
+    }
+
+    private static double value(String text, Map<String, Double> units, String right) {
+        int end = 0;
+        while (end < text.length() && "0123456789.".indexOf(text.charAt(end)) >= 0) {
+            end++;
+        }
+        Double unit = units.get(text.substring(end));
+        try {
+            double value = unit == null ? 0 : Double.parseDouble(text.substring(0, end)) * unit;
+            if (value > 0) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // falls through to the message below, which says what was expected
+        }
+        throw new IllegalArgumentException("'" + text + "' is not above 0 or has no unit; right would be " + right);
+    }
+}
