--- /dev/null
+++ b/src/test/java/junipercourse/fleet/link/CodecTest.java
@@ -0,0 +1,110 @@
+package junipercourse.fleet.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.zip.CRC32C;
+import junipercourse.fleet.link.wire.Datagram;
+import junipercourse.fleet.view.Standing;
+import junipercourse.fleet.view.Statement;
+import junipercourse.fleet.view.Word;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Words survive the wire; what is damaged, strange or newer is refused by its reason. */
+class CodecTest {
+    private static final Word SMALL = new Word("n1", 7, Word.Kind.PING, 3, "n2", -1, List.of(), 0, 0);
+
+    private static String text(Random random, int least, int most) {
+        return random.ints(least + random.nextInt(most - least + 1), '!', '~' + 1)
+                .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append).toString();
+    }
+
+    /** A word as full as its own bounds allow, so that the datagram's bound is met. */
+    private static Word word(Random random) {
+        List<Statement> statements = new ArrayList<>();
+        int bytes = 0;
+        for (int i = random.nextInt(Word.STATEMENTS_MOST + 1); i > 0; i--) {
+            Statement s = new Statement(text(random, 1, 40), random.nextLong() >>> 1, random.nextLong() >>> 1,
+                    Standing.values()[random.nextInt(4)], text(random, 1, 48), text(random, 0, 40));
+            bytes += s.bytes();
+            if (bytes <= Word.STATEMENT_BYTES) {
+                statements.add(s);
+            }
+        }
+        return new Word(text(random, 1, 40), random.nextLong() >>> 1,
+                Word.Kind.values()[random.nextInt(5)], random.nextLong(), text(random, 0, 40),
+                random.nextLong(), statements, random.nextInt(100), random.nextInt(100));
+    }
+
+    @Property(tries = 2000, seed = "28")
+    void everyWordFitsComesBackAndNoDamageIsTaken(@ForAll long seed) {
+        Random random = new Random(seed);
+        Codec codec = new Codec(text(random, 1, 40));
+        Word word = word(random);
+        ByteBuffer bytes = ByteBuffer.allocate(Codec.MOST_BYTES);
+        assertTrue(codec.write(word, bytes), () -> "does not fit: " + word);
+        assertEquals(new Codec.Read(word, null), codec.read(bytes));
+        int bit = random.nextInt(bytes.limit() * 8);
+        bytes.rewind().put(bit / 8, (byte) (bytes.get(bit / 8) ^ 1 << bit % 8));
+        assertEquals(Refusal.DAMAGED, codec.read(bytes).refusal());
+    }
+
+    @Property(tries = 2000, seed = "29")
+    void garbageBehindAGoodChecksumIsRefusedOrAWord(@ForAll byte[] garbage) {
+        ByteBuffer bytes = framed(garbage);
+        Codec.Read read = new Codec("f").read(bytes);
+        assertTrue(read.word() == null != (read.refusal() == null));
+    }
+
+    private static ByteBuffer framed(byte[] body) {
+        CRC32C crc = new CRC32C();
+        crc.update(body);
+        return ByteBuffer.allocate(4 + body.length).putInt((int) crc.getValue()).put(body).rewind();
+    }
+
+    @Test
+    void strangersAndNewerFormatsAreNamed() throws Exception {
+        Codec codec = new Codec("f");
+        ByteBuffer bytes = ByteBuffer.allocate(Codec.MOST_BYTES);
+        codec.write(SMALL, bytes);
+        Datagram now = Datagram.parseFrom(bytes.position(4));
+        assertEquals(Refusal.OTHER_FLEET, new Codec("g").read(bytes.rewind()).refusal());
+        assertEquals(Refusal.NEWER_FORMAT, codec.read(framed(now.toBuilder().setMajor(2).build()
+                .toByteArray())).refusal());
+        Codec.Read minor = codec.read(framed(now.toBuilder().setMinor(9).build().toByteArray()));
+        assertNull(minor.refusal());
+        assertEquals(SMALL, minor.word());
+        assertEquals(Refusal.UNREADABLE, codec.read(framed(now.toBuilder().setWord(now.getWord().toBuilder()
+                .setKind(9)).build().toByteArray())).refusal());
+        assertEquals(Refusal.TOO_LONG, codec.read(ByteBuffer.allocate(Codec.MOST_BYTES + 1)).refusal());
+        assertEquals(Refusal.DAMAGED, codec.read(ByteBuffer.allocate(0)).refusal());
+    }
+
+    /** One address that floods is held down alone; all together are, too; what is unused lasts a second. */
+    @Test
+    void ratesHoldForEachAndForAll() {
+        Rate rate = new Rate(10, 25);
+        assertEquals(10, taken(rate, "a", 100, 0));
+        assertEquals(10, taken(rate, "b", 100, 0));
+        assertEquals(5, taken(rate, "c", 100, 0));
+        assertEquals(5, taken(rate, "a", 100, 0.5));
+        assertEquals(10, taken(rate, "a", 100, 60));
+        assertFalse(rate.take("d", 11, 60), "more than a second's worth never passes");
+    }
+
+    private static int taken(Rate rate, String who, int tries, double now) {
+        int passed = 0;
+        for (int i = 0; i < tries; i++) {
+            passed += rate.take(who, 1, now) ? 1 : 0;
+        }
+        return passed;
+    }
+}
--- /dev/null
+++ b/src/test/java/junipercourse/product/ProductReaderTest.java
@@ -0,0 +1,69 @@
+package junipercourse.product;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The product file: values with units, and faults with their place. */
+class ProductReaderTest {
+    private static final String GOOD = """
+            <product>
+              <fleet name="f" listen="127.0.0.1:7101" zone="east">
+                <seed address="127.0.0.2:7101"/>
+                <bounds peer-rate="1KB/s" ring="64"/>
+                <times probe-interval="250ms" forget-left="1.5min"/>
+              </fleet>
+            </product>
+            """;
+
+    private static Product read(String text) throws ProductFaults {
+        return ProductReader.parse("p.xml", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static List<String> faults(String text) {
+        return assertThrows(ProductFaults.class, () -> read(text)).faults();
+    }
+
+    @Test
+    void valuesCarryTheirUnitsAndTheRestHasDefaults() throws Exception {
+        FleetPart fleet = read(GOOD).fleet();
+        assertEquals("127.0.0.1:7101", fleet.advertise());
+        assertEquals(List.of("127.0.0.2:7101"), fleet.seeds());
+        assertEquals(1024, fleet.bounds().peerBytes());
+        assertEquals(64, fleet.bounds().ring());
+        assertEquals(0.25, fleet.view().probeInterval());
+        assertEquals(90, fleet.view().forgetLeft());
+        assertEquals(null, read("<product/>").fleet());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "250ms | 250 | 5:55: times: probe-interval: '250' cannot be used; right would be a time with its unit",
+        "zone= | zoned= | 2:56: fleet: Attribute 'zoned' is not allowed to appear in element 'fleet'.",
+        "name=\"f\" | name=\"\" | 2:54: fleet: name: '' cannot be used; right would be 1 to 40 visible",
+        "ring=\"64\" | ring=\"4\" | 4:41: bounds: ring: '4' cannot be used; right would be a whole number from 8",
+        "127.0.0.2:7101 | 127.0.0.2:71011 | 3:38: seed: address: 127.0.0.2:71011: not a numeric address",
+        "127.0.0.1:7101 | 0.0.0.0:7101 | 6:11: fleet: advertise: missing; others cannot send to 0.0.0.0:7101",
+        "250ms | 0ms | 6:11: fleet: times: probe-interval: '0ms' is not above 0",
+        "forget-left | suspicion-max=\"1s\" forget-left | 6:11: fleet: suspicionMax: 1.0 is not above",
+        "<product> | <!DOCTYPE product SYSTEM \"x\"><product> | 1:10: document: no well-formed XML",
+        "</product> | </produce> | 7:3: product: no well-formed XML"})
+    void aFaultIsToldWithItsPlaceAndElement(String good, String bad, String fault) {
+        List<String> faults = faults(GOOD.replaceFirst(java.util.regex.Pattern.quote(good.trim()), bad.trim()));
+        assertEquals(1, faults.size(), faults::toString);
+        assertTrue(faults.get(0).startsWith("p.xml:" + fault.trim()), faults::toString);
+    }
+
+    @Test
+    void allFaultsAreToldAtOnceUpToABound() {
+        assertEquals(3, faults(GOOD.replace("250ms", "x").replace("1KB/s", "y").replace("\"f\"", "\"\"")).size());
+        String seeds = "<seed address='x'/>".repeat(90);
+        assertEquals(51, faults(GOOD.replace("<bounds", seeds + "<bounds")).size());
+    }
+}
