--- /dev/null
+++ b/src/main/java/junipercourse/fleet/view/Peer.java
@@ -0,0 +1,36 @@
+package junipercourse.fleet.view;
+
+/** What is kept of one member: the greatest statement, and what we ourselves saw of him in this life. */
+final class Peer {
+    Statement st;
+    double since;
+    /** When he was last heard by ourselves; negative infinity if never. */
+    double lastHeard = Double.NEGATIVE_INFINITY;
+    /** The digest that his last word bore; 0 if none. */
+    long digest;
+    /** While suspect: not called unreachable before this time. */
+    double deadline;
+    /** While suspect: our own tries since that he left unanswered. */
+    int failed;
+    /** While suspect: somebody else calls him unreachable, so that fewer tries of our own are enough. */
+    boolean hearsay;
+    /** Next try while suspect; next question for his digest while that differs. */
+    double nextTry;
+
+    Peer(Statement st, double now) {
+        this.st = st;
+        this.since = now;
+    }
+
+    void set(Statement next, double now) {
+        if (next.incarnation() != st.incarnation()) {
+            lastHeard = Double.NEGATIVE_INFINITY;
+            digest = 0;
+        }
+        if (next.incarnation() != st.incarnation() || next.standing() != st.standing()) {
+            since = now;
+        }
+        st = next;
+        hearsay = false;
+    }
+}
