--- a/src/main/java/junipercourse/cli/ServeWithProduct.java
+++ b/src/main/java/junipercourse/cli/ServeWithProduct.java
@@ -25,7 +25,7 @@
             return WRONG;
         }
         Config config = Config.read(environment);
-        Part fleet = product.fleet() == null ? null : new Fleet(config.name(), config.seed(), product.fleet());
+        Part fleet = product.fleet() == null ? null : new Fleet(config.name(), product.fleet());
         Server server = new Server(config, fleet);
         server.reloadOnHangUp(environment);
         server.start();
--- a/src/main/java/junipercourse/fleet/Fleet.java
+++ b/src/main/java/junipercourse/fleet/Fleet.java
@@ -1,6 +1,7 @@
 package junipercourse.fleet;
 
 import java.io.IOException;
+import java.security.SecureRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -51,7 +52,9 @@
      * @param name this process's, by which its lives are told apart
      * @throws IOException if the address cannot be had at all
      */
-    public Fleet(String name, long seed, FleetPart part) throws IOException {
+    public Fleet(String name, FleetPart part) throws IOException {
+        long seed = new SecureRandom().nextLong(); // one of the settings would be every life's and everybody's
+        Logger.info("fleet: {} of fleet {}, seed {}", name, part.name(), Long.toHexString(seed));
         link = new FleetLink(part.name(), part.listen(), part.bounds(), line -> Logger.warn("fleet: {}", line));
         view = new View(part.view(), name, part.advertise(), part.zone(), part.seeds(), seed, new Actions());
         attention = new Attention(PARK_MOST_S, STALL_S, Double.MAX_VALUE, now(), now());
--- a/src/main/java/junipercourse/pg/MessageWriter.java
+++ b/src/main/java/junipercourse/pg/MessageWriter.java
@@ -8,7 +8,6 @@
 
 /** Builds the messages that a server sends. */
 final class MessageWriter {
-    private static final int COLUMNS = 3;
     private static final int TEXT_OID = 25;
 
     private final ByteArrayOutputStream out = new ByteArrayOutputStream(256);
@@ -66,10 +65,10 @@
         return message('E', b.toByteArray());
     }
 
-    /** A whole result of three text columns: its description, its rows and its end. */
+    /** A whole result of text columns: its description, its rows and its end. */
     MessageWriter result(List<byte[]> pages, String... names) {
         ByteArrayOutputStream description = new ByteArrayOutputStream();
-        description.writeBytes(ByteBuffer.allocate(2).putShort((short) COLUMNS).array());
+        description.writeBytes(ByteBuffer.allocate(2).putShort((short) names.length).array());
         for (String name : names) {
             description.writeBytes(text(name));
             description.writeBytes(ByteBuffer.allocate(18).putInt(0).putShort((short) 0).putInt(TEXT_OID)
@@ -81,7 +80,7 @@
             int from = 0;
             for (int i = 0; i < page.length; i++) {
                 if (page[i] == '\n') {
-                    row(page, from, i);
+                    row(page, from, i, names.length);
                     from = i + 1;
                     rows++;
                 }
@@ -90,16 +89,16 @@
         return message('C', text("SELECT " + rows));
     }
 
-    private void row(byte[] page, int from, int to) {
-        ByteBuffer body = ByteBuffer.allocate(2 + 4 * COLUMNS + to - from).putShort((short) COLUMNS);
+    private void row(byte[] page, int from, int to, int columns) {
+        ByteBuffer body = ByteBuffer.allocate(2 + 4 * columns + to - from).putShort((short) columns);
         int start = from;
-        for (int column = 1; column <= COLUMNS; column++) {
+        for (int column = 1; column <= columns; column++) {
             int end = start;
             while (end < to && page[end] != '\t') {
                 end++;
             }
             body.putInt(end - start).put(page, start, end - start);
-            start = end + 1;
+            start = Math.min(end + 1, to); // columns that are missing are empty
         }
         message('D', Arrays.copyOf(body.array(), body.position()));
     }
--- /dev/null
+++ b/src/test/java/junipercourse/fleet/link/FleetLinkTest.java
@@ -0,0 +1,66 @@
+package junipercourse.fleet.link;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.util.List;
+import junipercourse.fleet.view.Word;
+import org.junit.jupiter.api.Test;
+
+/** The link's rings and rates on real sockets: nobody waits, what finds no room is counted. */
+class FleetLinkTest {
+    private static final Bounds BOUNDS = new Bounds(1000, 1e6, 1e6, 1e6, 8);
+
+    private static FleetLink link(InetSocketAddress listen) throws IOException {
+        FleetLink link = new FleetLink("f", listen, BOUNDS, line -> { });
+        link.start(Thread.currentThread());
+        return link;
+    }
+
+    private static Word word(int number) {
+        return new Word("n1", 1, Word.Kind.PING, number, "n2", 5, List.of(), 0, 0);
+    }
+
+    @Test
+    void whatFindsNoRoomIsCountedAndTheRestArrives() throws Exception {
+        InetSocketAddress any = new InetSocketAddress("127.0.0.8", 0);
+        try (FleetLink a = link(any); FleetLink b = link(any)) {
+            String toB = "127.0.0.8:" + ((InetSocketAddress) b.address()).getPort();
+            a.send("nowhere", word(0));
+            await().until(() -> a.tally().refused(Refusal.NOT_SENT) == 1);
+            for (int i = 0; i < 8; i++) {
+                int sent = i + 1;
+                a.send(toB, word(i));
+                await().until(() -> a.tally().out() == sent);
+            }
+            await().until(() -> b.tally().in() == 8);
+            a.send(toB, word(8));
+            await().until(() -> b.tally().refused(Refusal.IN_RING_FULL) == 1);
+            for (int i = 0; i < 8; i++) {
+                assertEquals(word(i), b.poll().word());
+            }
+            while (a.tally().refused(Refusal.OVER_RATE) == 0 || a.tally().refused(Refusal.OUT_RING_FULL) == 0) {
+                a.send(toB, word(9)); // never waits
+            }
+        }
+    }
+
+    @Test
+    void anAddressInUseIsTriedAgainAndOneThatIsNotOursIsAnError() throws Exception {
+        try (DatagramSocket holder = new DatagramSocket(new InetSocketAddress("127.0.0.8", 0));
+                FleetLink link = link((InetSocketAddress) holder.getLocalSocketAddress())) {
+            assertFalse(link.bound());
+            holder.close();
+            await().until(link::bound);
+        }
+        String message = assertThrows(IOException.class, () -> link(new InetSocketAddress("192.0.2.1", 7101)))
+                .getMessage();
+        assertTrue(message.startsWith("cannot have fleet address /192.0.2.1:7101"), message);
+    }
+}
