--- a/src/test/java/junipercourse/fleet/link/FleetLinkTest.java
+++ b/src/test/java/junipercourse/fleet/link/FleetLinkTest.java
@@ -53,8 +53,8 @@
 
     @Test
     void anAddressInUseIsTriedAgainAndOneThatIsNotOursIsAnError() throws Exception {
-        try (DatagramSocket holder = new DatagramSocket(new InetSocketAddress("127.0.0.8", 0));
-                FleetLink link = link((InetSocketAddress) holder.getLocalSocketAddress())) {
+        DatagramSocket holder = new DatagramSocket(new InetSocketAddress("127.0.0.8", 0));
+        try (FleetLink link = link((InetSocketAddress) holder.getLocalSocketAddress())) {
             assertFalse(link.bound());
             holder.close();
             await().until(link::bound);
