--- /dev/null
+++ b/src/main/java/junipercourse/fleet/view/Calls.java
@@ -0,0 +1,74 @@
+package junipercourse.fleet.view;
+
+import java.util.ArrayList;
+import java.util.List;
+import junipercourse.fleet.view.Word.Kind;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Words beyond the probes: to whom we do not hear, to whom we do not agree with, and the farewell. */
+final class Calls {
+    private static final int FAREWELLS = 8;
+    private static final int FAREWELL_PEERS = 6;
+    private static final double ASK_DIFFERING_S = 1;
+    private static final int ASK_DIFFERING = 2;
+
+    private final Settings settings;
+    private final List<String> seeds;
+    private final Roll roll;
+    private final Post post;
+    private final UniformRandomProvider random;
+    private double nextReach;
+    private int farewells;
+
+    Calls(Settings settings, List<String> seeds, Roll roll, Post post, UniformRandomProvider random) {
+        this.settings = settings;
+        this.seeds = seeds;
+        this.roll = roll;
+        this.post = post;
+        this.random = random;
+    }
+
+    /** Unreachable members and absent seeds are asked now and then, so that a cut that heals is noticed. */
+    void reach(double now) {
+        if (now < nextReach) {
+            return;
+        }
+        nextReach = now + settings.reachInterval() * (0.75 + random.nextDouble() / 2);
+        Peer silent = roll.any(random, st -> st.standing() == Standing.UNREACHABLE);
+        if (silent != null) {
+            post.toPeer(silent, Kind.PING, post.number(), silent.st.name(), null);
+        }
+        if (seeds.isEmpty()) {
+            return;
+        }
+        String seed = seeds.get(random.nextInt(seeds.size()));
+        if (roll.any(random, st -> st.address().equals(seed)) == null) {
+            post.to(seed, Kind.ASK_PAGE, post.number(), post.self().name(), List.of(), 0, 0);
+        }
+    }
+
+    /** A few present members whose last word bore another digest are asked for a newer one. */
+    void askDiffering(double now) {
+        int asked = 0;
+        for (Peer peer : roll.peers()) {
+            if (asked < ASK_DIFFERING && peer.st.standing() == Standing.ALIVE && peer.digest != roll.digest()
+                    && now >= peer.nextTry && !peer.st.name().equals(post.self().name())) {
+                asked++;
+                peer.nextTry = now + ASK_DIFFERING_S;
+                post.toPeer(peer, Kind.PING, post.number(), peer.st.name(), null);
+            }
+        }
+    }
+
+    /** Tells some members that we leave; true if that was the last time. */
+    boolean farewell() {
+        List<Peer> others = new ArrayList<>();
+        roll.peers().forEach(others::add);
+        others.removeIf(peer -> !peer.st.present());
+        for (int i = 0; i < FAREWELL_PEERS && !others.isEmpty(); i++) {
+            Peer peer = others.remove(random.nextInt(others.size()));
+            post.toPeer(peer, Kind.PING, post.number(), peer.st.name(), null);
+        }
+        return ++farewells >= FAREWELLS;
+    }
+}
--- a/src/main/java/junipercourse/fleet/view/View.java
+++ b/src/main/java/junipercourse/fleet/view/View.java
@@ -1,6 +1,5 @@
 package junipercourse.fleet.view;
 
-import java.util.ArrayList;
 import java.util.List;
 import junipercourse.fleet.view.Word.Kind;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -18,31 +17,23 @@
     /** A tick that is later than this was held up, together with what we should have heard meanwhile. */
     static final double LATE_S = 0.3;
     private static final double FORGET_EVERY_S = 1;
-    private static final int FAREWELLS = 8;
-    private static final int FAREWELL_PEERS = 6;
     private static final int SEEDS_MOST = 32;
-    private static final double ASK_DIFFERING_S = 1;
-    private static final int ASK_DIFFERING = 2;
 
     private final Settings settings;
     private final List<String> seeds;
-    private final Out out;
     private final Roll roll;
-    private final Rumours rumours = new Rumours();
     private final Post post;
     private final Prober prober;
     private final Sync sync;
     private final Life life;
-    private final UniformRandomProvider random;
+    private final Learner learner;
+    private final Calls calls;
+    private final Out out;
     private Faults faults = Faults.NONE;
     private double due = Double.POSITIVE_INFINITY;
     private double at;
-    private double nextReach;
     private double nextForget;
-    private double nextFullLog;
-    private int farewells;
     private boolean left;
-    private boolean changed;
     private boolean settled;
 
     /** Faults put in on purpose by tests, which must see their judges find them. */
@@ -66,13 +57,16 @@
         }
         this.seeds.forEach(each -> Statement.text("seed", each, Statement.ADDRESS_MOST, 1));
         this.out = out;
-        this.random = new SplitMix64(seed);
+        UniformRandomProvider random = new SplitMix64(seed);
+        Rumours rumours = new Rumours();
         this.roll = new Roll(settings);
         this.post = new Post(settings, roll, rumours, out);
         this.prober = new Prober(settings, roll, post, random);
         this.sync = new Sync(settings, roll, post);
         Statement none = new Statement(name, 0, 0, Standing.ALIVE, address, zone);
         this.life = new Life(settings, roll, post, none, this.seeds, random, out);
+        this.learner = new Learner(settings, roll, rumours, post, prober, life, out);
+        this.calls = new Calls(settings, this.seeds, roll, post, random);
     }
 
     void put(Faults fault) {
@@ -105,7 +99,7 @@
         boolean namesake = word.from().equals(name);
         for (Statement statement : word.statements()) {
             if (statement.incarnation() > 0) {
-                learn(statement, now);
+                learner.learn(statement, now);
             }
         }
         String answer = word.statements().isEmpty() || !word.statements().get(0).name().equals(word.from())
@@ -158,60 +152,6 @@
         }
     }
 
-    /** Joins a statement that was heard or concluded, and passes on what is news. */
-    private void learn(Statement heard, double now) {
-        if (heard.name().equals(post.self().name())) {
-            if (!life.living()) {
-                life.known(heard);
-                changed |= roll.join(heard, now) == Roll.Joined.NEWS;
-            } else if (heard.compareTo(post.self()) > 0) {
-                challenged(heard, now);
-            }
-            return;
-        }
-        Statement next = heard;
-        Peer peer = roll.get(heard.name());
-        boolean hearsay = heard.standing() == Standing.UNREACHABLE && !heard.forgotten() && peer != null
-            && peer.st.present() && peer.st.incarnation() == heard.incarnation() && heard.compareTo(peer.st) > 0;
-        if (hearsay) { // that another does not hear him is to be tried by ourselves
-            next = heard.with(Standing.SUSPECT);
-        }
-        join(next, now);
-        if (hearsay) {
-            peer.hearsay = true;
-        }
-    }
-
-    /** Joins a statement as it is. */
-    private void join(Statement next, double now) {
-        Roll.Joined joined = roll.join(next, now);
-        if (joined == Roll.Joined.NEWS) {
-            changed = true;
-            rumours.add(next, settings.passes(roll.present()));
-            if (next.standing() == Standing.SUSPECT) {
-                prober.suspected(roll.get(next.name()), now);
-            }
-        } else if (joined == Roll.Joined.OLD) {
-            rumours.add(roll.known(next.name()), 1);
-        } else if (joined == Roll.Joined.FULL && now >= nextFullLog) {
-            nextFullLog = now + 60;
-            out.log("members: " + settings.members() + " are known, no more are taken; refused " + next.member());
-        }
-    }
-
-    private void challenged(Statement heard, double now) {
-        boolean living = life.living();
-        Statement answer = life.challenged(heard, now);
-        roll.join(answer == null ? heard : answer, now);
-        changed = true;
-        if (answer != null) {
-            rumours.add(answer, settings.passes(roll.present()));
-        } else if (living) {
-            rumours.clear();
-            sync.restart();
-        }
-    }
-
     /** Carries out what is due. */
     public void tick(double now) {
         if (now - due > LATE_S) {
@@ -222,61 +162,26 @@
         }
         due = Math.max(due, now) + settings.beat();
         if (left) {
-            farewell();
+            sayFarewell();
         } else if (!life.living()) {
             if (life.tick(now)) {
-                Statement first = life.begin();
-                roll.join(first, now);
-                rumours.add(first, settings.passes(roll.present()));
+                learner.own(life.begin(), now);
                 prober.restart(now);
-                changed = true;
             }
         } else {
-            prober.tick(now, statement -> join(statement, now));
+            prober.tick(now, statement -> learner.join(statement, now));
             sync.tick(now);
-            reach(now);
-            askDiffering(now);
+            calls.reach(now);
+            calls.askDiffering(now);
             forget(now);
         }
         tell(now);
     }
 
-    /** Unreachable members and absent seeds are asked now and then, so that a cut that heals is noticed. */
-    private void reach(double now) {
-        if (now < nextReach) {
-            return;
-        }
-        nextReach = now + settings.reachInterval() * (0.75 + random.nextDouble() / 2);
-        Peer silent = roll.any(random, st -> st.standing() == Standing.UNREACHABLE);
-        if (silent != null) {
-            post.toPeer(silent, Kind.PING, post.number(), silent.st.name(), null);
-        }
-        if (seeds.isEmpty()) {
-            return;
-        }
-        String seed = seeds.get(random.nextInt(seeds.size()));
-        if (roll.any(random, st -> st.address().equals(seed)) == null) {
-            post.to(seed, Kind.ASK_PAGE, post.number(), post.self().name(), List.of(), 0, 0);
-        }
-    }
-
-    /** A few present members whose last word bore another digest are asked for a newer one. */
-    private void askDiffering(double now) {
-        int asked = 0;
-        for (Peer peer : roll.peers()) {
-            if (asked < ASK_DIFFERING && peer.st.standing() == Standing.ALIVE && peer.digest != roll.digest()
-                    && now >= peer.nextTry && !peer.st.name().equals(post.self().name())) {
-                asked++;
-                peer.nextTry = now + ASK_DIFFERING_S;
-                post.toPeer(peer, Kind.PING, post.number(), peer.st.name(), null);
-            }
-        }
-    }
-
     private void forget(double now) {
         if (now >= nextForget) {
             nextForget = now + FORGET_EVERY_S;
-            roll.due(now).forEach(statement -> join(statement, now));
+            roll.due(now).forEach(statement -> learner.join(statement, now));
         }
     }
 
@@ -301,38 +206,29 @@
         if (life.living()) {
             Statement self = post.self();
             post.self(self.with(self.version() + 2).with(Standing.LEFT));
-            roll.join(post.self(), now);
-            changed = true;
-            farewell();
+            learner.own(post.self(), now);
+            sayFarewell();
         } else {
             due = Double.POSITIVE_INFINITY;
         }
         tell(now);
     }
 
-    private void farewell() {
-        List<Peer> others = new ArrayList<>();
-        roll.peers().forEach(others::add);
-        others.removeIf(peer -> !peer.st.present());
-        for (int i = 0; i < FAREWELL_PEERS && !others.isEmpty(); i++) {
-            Peer peer = others.remove(random.nextInt(others.size()));
-            post.toPeer(peer, Kind.PING, post.number(), peer.st.name(), null);
-        }
-        if (++farewells >= FAREWELLS) {
-            due = Double.POSITIVE_INFINITY;
-        }
-    }
-
     /** Another process that uses our name, with a later life or none, as last heard of; null if there is none. */
     public Statement rival() {
         return life.rival(at);
     }
 
+    private void sayFarewell() {
+        if (calls.farewell()) {
+            due = Double.POSITIVE_INFINITY;
+        }
+    }
+
     private void tell(double now) {
         at = now;
         boolean agreed = life.living() && roll.agreed(post.self().name());
-        if (changed || agreed != settled) {
-            changed = false;
+        if (learner.changed() || agreed != settled) {
             settled = agreed;
             out.changed(snapshot());
         }
--- /dev/null
+++ b/src/test/java/junipercourse/fleet/view/Judge.java
@@ -0,0 +1,132 @@
+package junipercourse.fleet.view;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Knows what is true in a {@link World} and holds each snapshot of each process against it. */
+final class Judge {
+    private final World world;
+    private final Map<World.Process, Map<String, Statement>> views = new HashMap<>();
+    private final Map<Member, World.Process> begun = new HashMap<>();
+    private final Map<World.Process, Member> lives = new HashMap<>();
+    private final Set<Member> left = new HashSet<>();
+    /** What must never be. */
+    final List<String> broken = new ArrayList<>();
+    /** Verdicts on processes that ran, could be reached and were paused for 1 s at most. */
+    final List<String> falseUnreachable = new ArrayList<>();
+    long lines;
+    int changes;
+
+    Judge(World world) {
+        this.world = world;
+    }
+
+    /** A process has started: it knows nothing, and has no life yet. */
+    void started(World.Process process) {
+        views.put(process, new TreeMap<>());
+        lives.remove(process);
+    }
+
+    void leaves(World.Process process) {
+        left.add(lives.get(process));
+    }
+
+    void saw(World.Process process, Snapshot snapshot) {
+        changes++;
+        Member self = snapshot.self();
+        if (self.incarnation() > 0 && !self.equals(lives.get(process))) {
+            if (begun.put(self, process) != null) {
+                broken.add(world.now + " " + self + " was begun a second time");
+            }
+            lives.put(process, self);
+        }
+        Map<String, Statement> view = views.get(process);
+        for (Snapshot.Seen seen : snapshot.members()) {
+            Statement next = seen.statement();
+            Statement last = view.put(next.name(), next);
+            if (next.equals(last)) {
+                continue;
+            }
+            if (last != null && last.incarnation() > next.incarnation()) {
+                broken.add(world.now + " " + process.name + " goes back from " + last + " to " + next);
+            }
+            if (!begun.containsKey(next.member())) {
+                broken.add(world.now + " " + process.name + " knows a life that was never begun: " + next);
+            }
+            if (next.standing() == Standing.LEFT && !left.contains(next.member())) {
+                broken.add(world.now + " " + process.name + " takes for left who never said so: " + next);
+            }
+            if (next.standing() == Standing.UNREACHABLE
+                    && (last == null || last.standing() != Standing.UNREACHABLE)) {
+                unreachable(process, next);
+            }
+        }
+    }
+
+    private void unreachable(World.Process by, Statement verdict) {
+        World.Process subject = begun.get(verdict.member());
+        boolean runs = subject != null && subject.runs() && verdict.member().equals(lives.get(subject));
+        boolean paused = runs && subject.paused() && world.now - subject.pausedAt > 1.001;
+        if (runs && !paused && world.cuts.isEmpty() && world.now - world.cutAt > 5 && !left.contains(verdict.member())) {
+            falseUnreachable.add(world.now + " " + by.name + " says " + verdict);
+        }
+    }
+
+    /** Null if all running processes are settled and know who runs and who does not; otherwise what differs. */
+    String agreed() {
+        TreeMap<String, Member> running = new TreeMap<>();
+        for (World.Process process : world.processes) {
+            if (process.runs()) {
+                Member life = lives.get(process);
+                if (life == null) {
+                    return process.name + " has no life";
+                }
+                running.merge(process.name, life, (a, b) -> a.incarnation() > b.incarnation() ? a : b);
+            }
+        }
+        long digest = 0;
+        for (World.Process process : world.processes) {
+            if (!process.runs()) {
+                continue;
+            }
+            Snapshot snapshot = process.seen;
+            if (snapshot == null || !snapshot.settled()) {
+                return process.name + " is not settled";
+            }
+            if (digest != 0 && snapshot.digest() != digest) {
+                return process.name + " has another digest";
+            }
+            digest = snapshot.digest();
+            TreeMap<String, Member> present = new TreeMap<>();
+            snapshot.members().stream().map(Snapshot.Seen::statement).filter(Statement::present)
+                .forEach(each -> present.put(each.name(), each.member()));
+            if (!present.equals(running)) {
+                return process.name + " knows " + present + " while there are " + running;
+            }
+        }
+        return null;
+    }
+
+    /** How many running processes do not call this life unreachable (or do not know it). */
+    int unaware(Member gone) {
+        int count = 0;
+        for (World.Process process : world.processes) {
+            if (process.runs()) {
+                Statement st = views.get(process).get(gone.name());
+                boolean aware = st == null || st.incarnation() > gone.incarnation()
+                    || st.standing() == Standing.UNREACHABLE || st.standing() == Standing.LEFT;
+                count += aware ? 0 : 1;
+            }
+        }
+        return count;
+    }
+
+    Member life(World.Process process) {
+        return lives.get(process);
+    }
+}
--- /dev/null
+++ b/src/test/java/junipercourse/fleet/view/World.java
@@ -0,0 +1,283 @@
+package junipercourse.fleet.view;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Many views under one virtual clock, on a network that loses, delays, reorders, doubles and cuts as the seed has
+ * it. Each process has a clock of its own that drifts by up to 1%; what comes while it is paused waits in a
+ * bounded buffer. The {@link Judge} sees each snapshot.
+ */
+final class World {
+    private static final int BUFFER = 400;
+
+    final SplittableRandom random;
+    final Judge judge = new Judge(this);
+    final List<Process> processes = new ArrayList<>();
+    final Set<String> cuts = new HashSet<>();
+    Settings settings = Settings.defaults();
+    View.Faults faults = View.Faults.NONE;
+    double loss;
+    double doubled;
+    double delayMost = 0.004;
+    /** When a cut was last made or healed. */
+    double cutAt = Double.NEGATIVE_INFINITY;
+    double now;
+    long words;
+    long bytes;
+    int largest;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private long sequence;
+
+    private record Event(double at, long number, Runnable what) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int order = Double.compare(at, other.at);
+            return order == 0 ? Long.compare(number, other.number) : order;
+        }
+    }
+
+    World(long seed) {
+        random = new SplittableRandom(seed);
+    }
+
+    /** A place in the fleet where one process after the other may run. */
+    final class Process implements Out {
+        final String name;
+        final String address;
+        private final String zone;
+        private final List<String> seeds;
+        private final double rate = 0.99 + random.nextDouble() * 0.02;
+        private final double offset = random.nextDouble() * 1000;
+        private final Deque<Runnable> waiting = new ArrayDeque<>();
+        private int starts;
+        View view;
+        Snapshot seen;
+        double pausedAt = Double.NaN;
+        double lastPause = Double.NEGATIVE_INFINITY;
+        double lastResume = Double.NEGATIVE_INFINITY;
+
+        Process(String name, String address, String zone, List<String> seeds) {
+            this.name = name;
+            this.address = address;
+            this.zone = zone;
+            this.seeds = seeds;
+        }
+
+        boolean runs() {
+            return view != null;
+        }
+
+        boolean paused() {
+            return !Double.isNaN(pausedAt);
+        }
+
+        private double local() {
+            return offset + now * rate;
+        }
+
+        void start() {
+            starts++;
+            view = new View(settings, name, address, zone, seeds, random.nextLong(), this);
+            view.put(faults);
+            seen = null;
+            judge.started(this);
+            view.start(local());
+            sleep(view);
+        }
+
+        /** The process is gone, with all that it knew. */
+        void kill() {
+            view = null;
+            waiting.clear();
+            pausedAt = Double.NaN;
+        }
+
+        void leave() {
+            judge.leaves(this);
+            view.leave(local());
+            View leaving = view;
+            at(now + 1, () -> {
+                if (view == leaving) {
+                    kill();
+                }
+            });
+        }
+
+        void pause(double seconds) {
+            if (paused()) {
+                return;
+            }
+            pausedAt = now;
+            lastPause = now;
+            View paused = view;
+            at(now + seconds, () -> {
+                if (view == paused) {
+                    pausedAt = Double.NaN;
+                    lastResume = now;
+                    view.stalled(local(), seconds * rate);
+                    while (!waiting.isEmpty() && view == paused) {
+                        waiting.poll().run();
+                    }
+                    sleep(paused);
+                }
+            });
+        }
+
+        private void sleep(View running) {
+            double due = running.next();
+            if (due < Double.POSITIVE_INFINITY) {
+                at(Math.max(now, (due - offset) / rate + 1e-9), () -> {
+                    if (view == running && !paused()) {
+                        view.tick(local());
+                        sleep(running);
+                    }
+                });
+            }
+        }
+
+        void hear(String from, Word word) {
+            View hearing = view;
+            if (paused()) {
+                if (waiting.size() < BUFFER) {
+                    waiting.add(() -> hearing.heard(local(), from, word));
+                }
+            } else if (view != null) {
+                view.heard(local(), from, word);
+            }
+        }
+
+        @Override
+        public void send(String to, Word word) {
+            words++;
+            bytes += word.bytes();
+            largest = Math.max(largest, word.bytes());
+            deliver(address, to, word);
+        }
+
+        @Override
+        public void changed(Snapshot snapshot) {
+            judge.saw(this, snapshot);
+            seen = snapshot;
+        }
+
+        @Override
+        public void log(String line) {
+            judge.lines++;
+        }
+    }
+
+    Process add(String name, String address, String zone, List<String> seeds) {
+        Process process = new Process(name, address, zone, seeds);
+        processes.add(process);
+        return process;
+    }
+
+    /** {@code count} processes, of which the first {@code seeds} are everybody's seeds; none is started. */
+    World fleet(int count, int seeds) {
+        List<String> addresses = new ArrayList<>();
+        for (int i = 0; i < seeds; i++) {
+            addresses.add(address(i));
+        }
+        for (int i = 0; i < count; i++) {
+            add("n" + i, address(i), "z" + i % 3, addresses);
+        }
+        return this;
+    }
+
+    /** All started within so many seconds, and settled. */
+    World started(double within) {
+        for (Process process : processes) {
+            at(now + random.nextDouble() * within, process::start);
+        }
+        double took = untilSettled(within + 60);
+        if (Double.isNaN(took)) {
+            throw new AssertionError("not settled after the start\n" + this);
+        }
+        run(2);
+        return this;
+    }
+
+    private static String address(int number) {
+        return "10.0." + number / 200 + "." + (number % 200 + 1) + ":7400";
+    }
+
+    private void deliver(String from, String to, Word word) {
+        if (cuts.contains(from + ">" + to)) {
+            return;
+        }
+        for (int copies = random.nextDouble() < doubled ? 2 : 1; copies > 0; copies--) {
+            if (random.nextDouble() >= loss) {
+                double delay = 0.0002 + random.nextDouble() * delayMost;
+                at(now + (random.nextInt(50) == 0 ? 5 * delay : delay), () -> arrive(from, to, word));
+            }
+        }
+    }
+
+    private void arrive(String from, String to, Word word) {
+        for (Process process : processes) {
+            if (process.address.equals(to) && process.runs()) {
+                process.hear(from, word);
+            }
+        }
+    }
+
+    /** Words from one side no longer reach the other; one way only. */
+    void cut(Process from, Process to) {
+        cuts.add(from.address + ">" + to.address);
+        cutAt = now;
+    }
+
+    void heal() {
+        cuts.clear();
+        cutAt = now;
+    }
+
+    void at(double time, Runnable what) {
+        events.add(new Event(time, sequence++, what));
+    }
+
+    void run(double seconds) {
+        double until = now + seconds;
+        while (!events.isEmpty() && events.peek().at <= until) {
+            Event event = events.poll();
+            now = Math.max(now, event.at);
+            event.what.run();
+        }
+        now = until;
+    }
+
+    /** Seconds until all running processes are settled on the same view of who runs; NaN if not in time. */
+    double untilSettled(double most) {
+        double from = now;
+        while (now - from < most) {
+            run(0.05);
+            if (judge.agreed() == null) {
+                return now - from;
+            }
+        }
+        return Double.NaN;
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder("at " + now + ": " + judge.agreed());
+        for (Process process : processes) {
+            text.append('\n').append(process.name).append(process.runs() ? " " : " (down) ");
+            if (process.view != null) {
+                Snapshot snapshot = process.view.snapshot();
+                text.append(snapshot.self()).append(snapshot.settled() ? " settled" : " unsettled");
+                for (Snapshot.Seen each : snapshot.members()) {
+                    text.append("\n    ").append(each.statement());
+                }
+            }
+        }
+        return text.toString();
+    }
+}
