--- a/src/main/java/junipercourse/fleet/view/Calls.java
+++ b/src/main/java/junipercourse/fleet/view/Calls.java
@@ -42,7 +42,7 @@
             return;
         }
         String seed = seeds.get(random.nextInt(seeds.size()));
-        if (roll.any(random, st -> st.address().equals(seed)) == null) {
+        if (roll.any(random, st -> st.present() && st.address().equals(seed)) == null) {
             post.to(seed, Kind.ASK_PAGE, post.number(), post.self().name(), List.of(), 0, 0);
         }
     }
--- a/src/main/java/junipercourse/fleet/view/Prober.java
+++ b/src/main/java/junipercourse/fleet/view/Prober.java
@@ -20,9 +20,9 @@
     private static final int ROUNDS_MOST = 128;
     /** Most questions of others that we pass on at once. */
     private static final int RELAYS_MOST = 256;
-    /** Own tries without an answer before a suspect is called unreachable; fewer after another's verdict. */
+    /** Own tries without an answer before a suspect is called unreachable; one after another's verdict. */
     private static final int FAILED_LEAST = 3;
-    private static final int FAILED_HEARSAY = 2;
+    private static final int FAILED_HEARSAY = 1;
 
     private final Settings settings;
     private final Roll roll;
--- /dev/null
+++ b/src/test/java/junipercourse/fleet/view/Schedule.java
@@ -0,0 +1,114 @@
+package junipercourse.fleet.view;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * One seeded schedule of faults: kills with amnesia, restarts, pauses, one-way cuts, partitions, farewells, loss,
+ * doubling and delay for 15 s; then all heals, and the views must settle on who runs within {@link #BOUND_S}.
+ */
+final class Schedule {
+    /** From the end of all faults until all views agree: who was lonely waits up to 10 s with its verdicts. */
+    static final double BOUND_S = 15;
+    final World world;
+    final double settled;
+    private final SplittableRandom random;
+
+    private Schedule(long seed, View.Faults faults) {
+        world = new World(seed);
+        world.faults = faults;
+        random = world.random.split();
+        int count = 3 + random.nextInt(5);
+        int seeds = 1 + random.nextInt(3);
+        world.fleet(count, seeds);
+        boolean atOnce = random.nextBoolean();
+        for (World.Process process : world.processes) {
+            world.at(atOnce ? 0 : random.nextDouble() * 3, process::start);
+        }
+        world.loss = random.nextInt(3) * 0.1;
+        world.doubled = random.nextInt(2) * 0.1;
+        world.delayMost = random.nextInt(4) == 0 ? 0.05 : 0.004;
+        world.run(3);
+        while (world.now < 18) {
+            fault(world.processes.get(random.nextInt(count)));
+            world.run(random.nextDouble() * 2);
+        }
+        world.heal();
+        world.loss = 0;
+        if (world.processes.subList(0, seeds).stream().noneMatch(World.Process::runs)) {
+            world.processes.get(0).start(); // who was born in a cut and whose seeds are all gone is known to nobody
+        }
+        world.run(1.5); // the last pauses and farewells end
+        settled = world.untilSettled(BOUND_S);
+    }
+
+    private void fault(World.Process process) {
+        switch (random.nextInt(9)) {
+            case 0, 1 -> {
+                if (process.runs()) {
+                    process.kill();
+                }
+            }
+            case 2, 3, 4 -> {
+                if (!process.runs()) {
+                    process.start();
+                } else if (random.nextInt(3) == 0) {
+                    process.kill();
+                    process.start();
+                }
+            }
+            case 5 -> {
+                if (process.runs()) {
+                    process.pause(random.nextDouble() * (random.nextInt(4) == 0 ? 1 : 0.3) * 5);
+                }
+            }
+            case 6 -> world.cut(process, world.processes.get(random.nextInt(world.processes.size())));
+            case 7 -> {
+                boolean[] side = new boolean[world.processes.size()];
+                for (int i = 0; i < side.length; i++) {
+                    side[i] = random.nextBoolean();
+                }
+                for (int a = 0; a < side.length; a++) {
+                    for (int b = 0; b < side.length; b++) {
+                        if (side[a] != side[b]) {
+                            world.cut(world.processes.get(a), world.processes.get(b));
+                        }
+                    }
+                }
+            }
+            default -> {
+                if (random.nextInt(3) == 0 && process.runs() && !process.paused()
+                        && world.judge.life(process) != null) {
+                    process.leave();
+                } else {
+                    world.heal();
+                }
+            }
+        }
+    }
+
+    /** Plays the schedule of a seed. */
+    static Schedule play(long seed, View.Faults faults) {
+        return new Schedule(seed, faults);
+    }
+
+    /** What the judges found, with the seed that replays it; empty if nothing. */
+    static List<String> faultsOf(long seed, View.Faults faults) {
+        List<String> found = new ArrayList<>();
+        Schedule schedule = play(seed, faults);
+        if (!schedule.world.judge.broken.isEmpty()) {
+            found.add("seed " + seed + ": " + schedule.world.judge.broken.get(0));
+        }
+        if (!schedule.world.judge.falseUnreachable.isEmpty()) {
+            found.add("seed " + seed + ": " + schedule.world.judge.falseUnreachable.get(0));
+        }
+        if (Double.isNaN(schedule.settled)) {
+            found.add("seed " + seed + ": not settled " + schedule.world);
+        }
+        if (schedule.world.largest > Word.STATEMENT_BYTES + 160) {
+            found.add("seed " + seed + ": a word of " + schedule.world.largest + " bytes");
+        }
+        return found;
+    }
+}
--- a/src/test/java/junipercourse/fleet/view/World.java
+++ b/src/test/java/junipercourse/fleet/view/World.java
@@ -121,7 +121,13 @@
                 if (view == paused) {
                     pausedAt = Double.NaN;
                     lastResume = now;
-                    view.stalled(local(), seconds * rate);
+                    int order = random.nextInt(3); // a view must bear each, the first by seeing a late tick
+                    if (order > 0) {
+                        view.stalled(local(), seconds * rate);
+                    }
+                    if (order < 2) {
+                        view.tick(local());
+                    }
                     while (!waiting.isEmpty() && view == paused) {
                         waiting.poll().run();
                     }
