--- a/src/main/java/junipercourse/fleet/link/FleetLink.java
+++ b/src/main/java/junipercourse/fleet/link/FleetLink.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedSelectorException;
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -128,7 +129,7 @@
                 }
                 selector.selectedKeys().clear();
             }
-        } catch (IOException e) {
+        } catch (IOException | ClosedSelectorException e) {
             if (!closed) {
                 log.accept("the link to the fleet has failed; this dispatcher goes on without: " + e);
             }
--- a/src/test/java/junipercourse/cli/ManyStarts.java
+++ b/src/test/java/junipercourse/cli/ManyStarts.java
@@ -4,10 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.IntStream;
 import junipercourse.DispatcherProcess;
 import junipercourse.TestBench;
 import org.junit.jupiter.api.Test;
@@ -15,7 +17,8 @@
 
 /**
  * Many dispatchers of the deploy file's command line start at once. A long run, not part of the build, of the
- * packaged program: {@code mvn -q -B -ntp test -Dtest=ManyStarts -Dstarts=100}.
+ * packaged program: {@code mvn -q -B -ntp test -Dtest=ManyStarts -Dstarts=100}. With {@code -Dfleet=on} they are
+ * one fleet, without faults between them; {@code -Dhold=SECONDS} goes on for so long and tells what that cost.
  */
 class ManyStarts {
     private static final Path CONFIG = Path.of("deploy/sample.json");
@@ -33,7 +36,7 @@
             double[] readyS = new double[count];
             for (int i = 0; i < count; i++) {
                 begun[i] = System.nanoTime();
-                all.add(DispatcherProcess.deployed(folder.resolve("log" + i), CONFIG));
+                all.add(DispatcherProcess.deployed(folder.resolve("log" + i), CONFIG, product(i)));
             }
             for (int left = count; left > 0; TestBench.pause(10)) {
                 for (int i = 0; i < count; i++) {
@@ -47,6 +50,14 @@
             print("seconds to \"listens on\"", readyS);
             print("processor seconds until then", all.stream().mapToDouble(ManyStarts::processorS).toArray());
             print("resident MB", all.stream().mapToDouble(ManyStarts::residentMb).toArray());
+            double[] before = all.stream().mapToDouble(ManyStarts::processorS).toArray();
+            int hold = Integer.getInteger("hold", 0);
+            TestBench.pause(hold * 1000L);
+            if (hold > 0) {
+                print("processor seconds in " + hold + " s after", IntStream.range(0, count)
+                        .mapToDouble(i -> processorS(all.get(i)) - before[i]).toArray());
+                print("resident MB then", all.stream().mapToDouble(ManyStarts::residentMb).toArray());
+            }
             long archived = all.stream().filter(p -> told(p, "maps").contains("junipercourse.jsa")).count();
             assertEquals(count, archived, "with the class archive");
         } finally {
@@ -54,6 +65,16 @@
         }
     }
 
+    private String product(int i) throws IOException {
+        if (!"on".equals(System.getProperty("fleet"))) {
+            return "";
+        }
+        Path file = folder.resolve("product" + i + ".xml");
+        Files.writeString(file, "<product><fleet name='starts' listen='127.0.2." + (i + 1) + ":7101'>"
+                + "<seed address='127.0.2.1:7101'/><seed address='127.0.2.2:7101'/></fleet></product>");
+        return "export RELAY_NAME=n" + i + " JUNIPER_PRODUCT='" + file + "'; ";
+    }
+
     private static String told(DispatcherProcess p, String what) {
         try {
             return p.told(what);
--- a/src/test/java/junipercourse/rig/Hub.java
+++ b/src/test/java/junipercourse/rig/Hub.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedSelectorException;
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -137,9 +138,9 @@
                     standIns.get(next.from()).send(ByteBuffer.wrap(next.bytes()), listens.get(next.to()));
                 }
             }
-        } catch (IOException e) {
+        } catch (IOException | ClosedSelectorException e) {
             if (!closed) {
-                throw new UncheckedIOException(e);
+                throw new AssertionError(e);
             }
         }
     }
