--- a/src/main/java/junipercourse/fleet/view/Calls.java
+++ b/src/main/java/junipercourse/fleet/view/Calls.java
@@ -9,8 +9,8 @@
 final class Calls {
     private static final int FAREWELLS = 8;
     private static final int FAREWELL_PEERS = 6;
-    private static final double ASK_DIFFERING_S = 1;
-    private static final int ASK_DIFFERING = 2;
+    private static final double ASK_DIFFERING_S = 0.5;
+    private static final int ASK_DIFFERING = 4;
 
     private final Settings settings;
     private final List<String> seeds;
--- a/src/main/java/junipercourse/fleet/view/Settings.java
+++ b/src/main/java/junipercourse/fleet/view/Settings.java
@@ -71,7 +71,7 @@
 
     /** For a network whose answers come within a tenth of a second. */
     public static Settings defaults() {
-        return new Settings(0.05, 0.15, 0.1, 3, 1.2, 10, 8, 10, 0.5, 0.5, 0.5, 2, 3, 3600, 60, MEMBERS_MOST,
+        return new Settings(0.05, 0.1, 0.1, 3, 1.1, 10, 8, 10, 0.5, 0.5, 0.5, 2, 3, 3600, 60, MEMBERS_MOST,
             2 * MEMBERS_MOST, Word.STATEMENTS_MOST, 3);
     }
 
