--- a/src/main/java/junipercourse/fleet/Fleet.java
+++ b/src/main/java/junipercourse/fleet/Fleet.java
@@ -27,8 +27,9 @@
     private static final double PARK_MOST_S = 0.1;
     /** A wake-up that comes later than asked by so much is a stall; the system's own delays are shorter. */
     private static final double STALL_S = 0.15;
-    /** After a stall, for the link thread to read what lies at the socket before anything is judged. */
-    private static final double READ_FIRST_S = 0.02;
+    /** After a stall nothing is judged before all that lay at the socket is read; the longest wait for that. */
+    private static final double READ_FIRST_MOST_S = 0.5;
+    private static final double READ_AGAIN_S = 0.001;
     /** What the view says on leaving is said again by its timers for so long. */
     private static final double LEAVE_S = 0.15;
     /** Longest wait for that at the end of the process. */
@@ -45,6 +46,8 @@
     private volatile String failure;
     private volatile boolean ending;
     private volatile long stalls;
+    private long readFirst;
+    private double readFirstUntil;
 
     /**
      * Opens the link's socket; nothing is sent before {@link #start}.
@@ -123,14 +126,13 @@
             attention.restart(now);
             view.start(now);
             double left = Double.POSITIVE_INFINITY;
-            double judgeFrom = now;
             while (now < left + LEAVE_S) {
-                judgeFrom = turn(now, judgeFrom);
+                boolean all = turn(now);
                 if (ending && left > now) {
                     view.leave(now);
                     left = now;
                 }
-                park(Math.max(view.next(), judgeFrom) - now);
+                park(all ? view.next() - now : READ_AGAIN_S);
                 now = now();
             }
         } catch (RuntimeException e) {
@@ -142,15 +144,16 @@
         }
     }
 
-    /** One turn; returns from when on timers may be looked at. */
-    private double turn(double now, double judgeFrom) {
-        double from = judgeFrom;
+    /** One turn; false if there is more to be read before timers may be looked at. */
+    private boolean turn(double now) {
         Attention.Stall stall = attention.turn(now);
         if (stall != null) {
             stalls++;
             view.stalled(now, stall.length());
-            from = now + READ_FIRST_S;
+            readFirst = link.emptied() + 2;
+            readFirstUntil = now + READ_FIRST_MOST_S;
         }
+        boolean all = !link.bound() || link.emptied() >= readFirst || now > readFirstUntil;
         for (int i = 0; i < MOST_AT_ONCE; i++) {
             FleetLink.Mail mail = link.poll();
             if (mail == null) {
@@ -158,10 +161,12 @@
             }
             view.heard(now, mail.address(), mail.word());
         }
-        if (now >= from && now >= view.next()) {
+        if (!all) {
+            link.look();
+        } else if (now >= view.next()) {
             view.tick(now);
         }
-        return from;
+        return all;
     }
 
     private static void park(double seconds) {
--- a/src/main/java/junipercourse/fleet/link/FleetLink.java
+++ b/src/main/java/junipercourse/fleet/link/FleetLink.java
@@ -45,6 +45,7 @@
     private volatile boolean bound;
     private volatile boolean closed;
     private volatile Thread taker;
+    private volatile long emptied;
 
     /** A word with the address that it came from or goes to, as {@code host:port}. */
     public record Mail(String address, Word word) { }
@@ -100,6 +101,16 @@
         return tally;
     }
 
+    /** How often the socket was read until nothing was left; of two more, the second began after this. */
+    public long emptied() {
+        return emptied;
+    }
+
+    /** Has the socket looked at once more, soon. */
+    public void look() {
+        selector.wakeup();
+    }
+
     /** Queues a word; one for which there is no room is dropped. */
     public void send(String address, Word word) {
         if (outgoing.offer(new Mail(address, word))) {
@@ -158,6 +169,7 @@
             received.clear();
             SocketAddress from = channel.receive(received);
             if (from == null) {
+                emptied++; // written by this thread alone
                 return false;
             }
             received.flip();
