--- a/src/test/java/junipercourse/fleet/view/FleetFigures.java
+++ b/src/test/java/junipercourse/fleet/view/FleetFigures.java
@@ -16,8 +16,8 @@
             : Arrays.asList(args);
         if (which.contains("kill")) {
             for (int count : new int[] {3, 10, 100}) {
-                kill(count, 0);
-                kill(count, 0.2);
+                print("kill seen by all", count, 0, kill(count, 0, 20));
+                print("kill seen by all", count, 0.2, kill(count, 0.2, 20));
             }
         }
         if (which.contains("heal")) {
@@ -28,7 +28,7 @@
         }
         if (which.contains("false")) {
             for (int count : new int[] {3, 10, 30}) {
-                pauses(count);
+                pauses(count, 600);
             }
         }
         if (which.contains("load")) {
@@ -46,8 +46,8 @@
         return world;
     }
 
-    private static void kill(int count, double loss) {
-        double[] took = new double[20];
+    static double[] kill(int count, double loss, int times) {
+        double[] took = new double[times];
         for (int i = 0; i < took.length; i++) {
             World world = world(i, count, loss);
             World.Process victim = world.processes.get(world.random.nextInt(count));
@@ -60,7 +60,7 @@
             }
             took[i] = world.now - from;
         }
-        print("kill seen by all", count, loss, took);
+        return took;
     }
 
     private static void heal(int count, double loss) {
@@ -82,11 +82,12 @@
         print("settled after healing", count, loss, took);
     }
 
-    private static void pauses(int count) {
+    /** Falsely called unreachable in so many seconds with 20% loss and pauses of 1 s. */
+    static int pauses(int count, int seconds) {
         World world = world(1, count, 0.2);
         int pauses = 0;
         int suspected = world.judge.changes;
-        for (int step = 0; step < 6000; step++) {
+        for (int step = 0; step < 10 * seconds; step++) {
             if (world.random.nextInt(200) < count) {
                 World.Process process = world.processes.get(world.random.nextInt(count));
                 if (!process.paused() && world.now - process.lastResume > 1) {
@@ -96,21 +97,23 @@
             }
             world.run(0.1);
         }
-        System.out.printf(Locale.ROOT, "ten minutes, %d members, 20%% loss: %d pauses of 1 s, %d changes,"
-            + " %d false unreachable%n", count, pauses, world.judge.changes - suspected,
+        System.out.printf(Locale.ROOT, "%d s, %d members, 20%% loss: %d pauses of 1 s, %d changes,"
+            + " %d false unreachable%n", seconds, count, pauses, world.judge.changes - suspected,
             world.judge.falseUnreachable.size());
         world.judge.falseUnreachable.stream().limit(5).forEach(System.out::println);
-        world.judge.broken.stream().limit(5).forEach(System.out::println);
+        return world.judge.falseUnreachable.size() + world.judge.broken.size();
     }
 
-    private static void load(int count, double loss) {
+    /** Words and bytes a second that each member sends. */
+    static double[] load(int count, double loss) {
         World world = world(1, count, loss);
         long words = world.words;
         long bytes = world.bytes;
         world.run(60);
+        double[] sent = {(world.words - words) / 60.0 / count, (world.bytes - bytes) / 60.0 / count};
         System.out.printf(Locale.ROOT, "load, %d members, loss %.1f: %.1f words/s, %.0f bytes/s a member,"
-            + " largest %d%n", count, loss, (world.words - words) / 60.0 / count,
-            (world.bytes - bytes) / 60.0 / count, world.largest);
+            + " largest %d%n", count, loss, sent[0], sent[1], world.largest);
+        return sent;
     }
 
     private static void print(String what, int count, double loss, double[] took) {
--- a/src/test/java/junipercourse/fleet/view/Schedule.java
+++ b/src/test/java/junipercourse/fleet/view/Schedule.java
@@ -14,6 +14,8 @@
      * From the end of all faults until all views agree: who was lonely waits up to 10 s with its verdicts.
      */
     static final double BOUND_S = 15;
+    /** Most words a second that a member may send on average, whatever happens. */
+    private static final double WORDS_MOST = 200;
     final World world;
     final double settled;
     private final SplittableRandom random;
@@ -113,6 +115,10 @@
         if (schedule.world.largest > Word.STATEMENT_BYTES + 160) {
             found.add("seed " + seed + ": a word of " + schedule.world.largest + " bytes");
         }
+        double each = schedule.world.words / schedule.world.now / schedule.world.processes.size();
+        if (each > WORDS_MOST) {
+            found.add("seed " + seed + ": " + each + " words a second from each");
+        }
         return found;
     }
 }
--- a/src/test/java/junipercourse/fleet/view/VerdictsTest.java
+++ b/src/test/java/junipercourse/fleet/view/VerdictsTest.java
@@ -7,7 +7,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.DoubleStream;
 import junipercourse.fleet.view.Word.Kind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -211,6 +213,16 @@
         assertEquals(world.judge.life(away), old.member(), "the same life is back");
     }
 
+    /** The figures of the design note, with room, at the size that most sites have. */
+    @Test
+    void killsAreSeenSoonPausesAreNotAndWordsAreBounded() {
+        double[] took = FleetFigures.kill(10, 0.2, 10);
+        assertTrue(DoubleStream.of(took).max().orElseThrow() < 2.5, () -> "seeds 0 to 9: " + Arrays.toString(took));
+        assertEquals(0, FleetFigures.pauses(10, 120), "seed 1");
+        double[] sent = FleetFigures.load(10, 0.2);
+        assertTrue(sent[0] < 100 && sent[1] < 20_000, () -> "seed 1: " + Arrays.toString(sent));
+    }
+
     @Test
     void textsOutOfBoundsAreNamed() {
         String tooLong = "x".repeat(60);
