--- a/src/test/java/junipercourse/fleet/view/Schedule.java
+++ b/src/test/java/junipercourse/fleet/view/Schedule.java
@@ -41,11 +41,11 @@
         }
         world.heal();
         world.loss = 0;
+        world.run(1.5); // the last pauses and farewells end
         if (world.processes.subList(0, seeds).stream().noneMatch(World.Process::runs)) {
             // who was born in a cut and whose seeds are all gone is known to nobody
             world.processes.get(0).start();
         }
-        world.run(1.5); // the last pauses and farewells end
         settled = world.untilSettled(BOUND_S);
     }
 
--- a/src/test/java/junipercourse/fleet/view/VerdictsTest.java
+++ b/src/test/java/junipercourse/fleet/view/VerdictsTest.java
@@ -106,6 +106,7 @@
         world.run(60);
         for (World.Process process : world.processes) {
             assertEquals(3, present(process), () -> "seed " + seed + " " + world);
+            assertEquals(0, said(process, process.name).version(), "helpers answer before anybody is suspected");
         }
         world.heal();
         settles(world, 5, seed);
@@ -130,6 +131,25 @@
         settles(world, 5, seed);
     }
 
+    /** No seed tells a restarted process of its last life: it raises its own as soon as others speak of that. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void aRestartWithoutSeedsOutgrowsItsLastLife(long seed) {
+        World world = world(seed, 4, 1);
+        World.Process again = world.processes.get(3);
+        Member last = world.judge.life(again);
+        world.processes.get(0).kill();
+        again.kill();
+        again.start();
+        settles(world, 4.5, seed);
+        assertTrue(world.judge.life(again).incarnation() > last.incarnation(), "seed " + seed);
+        Statement later = new Statement("n3", Member.after(last.incarnation() << 1, seed), 0, Standing.SUSPECT,
+            again.address, "z0");
+        Word told = new Word("n1", 0, Kind.PAGE, 1, "", 7, List.of(later), 0, 1);
+        again.view.heard(again.local(), "10.0.0.2:7400", told);
+        assertTrue(again.view.snapshot().self().incarnation() > later.incarnation(), "raised at once");
+    }
+
     /** Who hears nobody puts his verdicts off; the others do not wait for him. */
     @Test
     void whoHearsNobodySuspectsHimselfFirst() {
@@ -206,6 +226,7 @@
         assertEquals(3, first.seen.members().size(), world::toString);
         Word late = new Word("n9", 0, Kind.PAGE, 1, "", 7, List.of(old), 0, 1);
         first.view.heard(first.local(), away.address, late);
+        assertEquals(3, first.seen.members().size(), world::toString);
         world.run(1);
         assertEquals(3, first.seen.members().size(), world::toString);
         world.heal();
