--- a/src/main/java/junipercourse/cli/Main.java
+++ b/src/main/java/junipercourse/cli/Main.java
@@ -56,7 +56,7 @@
 
     static int run(String[] args) {
         if (args.length == 1 && args[0].equals(SERVE) && System.getenv(PRODUCT) == null) {
-            return carryOut(SERVE, null); // the parser would take a tenth of a start, and there is nothing to parse
+            return carryOut(SERVE, null); // the parser would take a tenth of a start, for nothing
         }
         Options options = new Options();
         Serve serve = new Serve();
--- a/src/main/java/junipercourse/cli/ServeWithProduct.java
+++ b/src/main/java/junipercourse/cli/ServeWithProduct.java
@@ -9,7 +9,9 @@
 import junipercourse.product.ProductFaults;
 import junipercourse.product.ProductReader;
 
-/** {@code serve} with a product file. Apart from {@link Main}, so that nothing of it is loaded without one. */
+/**
+ * {@code serve} with a product file. Apart from {@link Main}, so that nothing of it is loaded without one.
+ */
 final class ServeWithProduct {
     private static final int WRONG = 2;
 
--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -4,7 +4,6 @@
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -19,7 +18,6 @@
 import junipercourse.core.Shows;
 import junipercourse.decision.DispatchApi.Kind;
 import junipercourse.engine.EngineClient;
-import junipercourse.liveness.StallLog;
 import junipercourse.log.BoundedConsoleWriter;
 import junipercourse.net.Descriptors;
 import junipercourse.net.Loop;
@@ -80,8 +78,7 @@
                 (int) (config.resources().sockets() * TAKEN_PART), engines, counters);
         Shows shows = new Shows();
         counters.showIn(shows);
-        shows.add("stalls", this::stalls, "figure", "value", "unit");
-        shows.add("descriptors", this::descriptors, "share", "figure", "count");
+        OwnTables.add(shows, loop, counters, descriptors);
         if (part != null) {
             part.showIn(shows);
         }
@@ -91,36 +88,10 @@
                 config.settings().kinds().stream().map(Kind::name).toList(), gateway::roster, counters);
     }
 
-    private void stalls(Shows.Rows rows) {
-        StallLog log = loop.stallLog();
-        rows.add("stalls", log.stalls(), "count")
-                .add("longest", millis(log.longest()), "ms")
-                .add("last", millis(log.lastLength()), "ms")
-                .add("last_at", log.stalls() == 0 ? "never" : Instant.ofEpochMilli(millis(log.lastAt())),
-                        "utc")
-                .add("total", millis(log.total()), "ms")
-                .add("longest_catch_up", millis(log.longestCatchUp()), "ms")
-                .add("clock_steps", log.steps(), "count")
-                .add("last_clock_step", millis(log.lastStep()), "ms")
-                .add("attempts_reexamined", counters.get(Count.STALLS_REEXAMINED), "count")
-                .add("attempts_left_alone", counters.get(Count.ATTEMPTS_LEFT_ALONE), "count")
-                .add("queries_unordered", counters.get(Count.QUERIES_UNORDERED), "count")
-                .add("log_lines_dropped", BoundedConsoleWriter.dropped(), "count");
-    }
-
-    private static long millis(double seconds) {
+    static long millis(double seconds) {
         return Math.round(seconds * 1e3);
     }
 
-    private void descriptors(Shows.Rows rows) {
-        rows.add("all", "limit", descriptors.limit()).add("own", "kept", descriptors.own());
-        for (Descriptors.Share s : descriptors.shares()) {
-            rows.add(s.name(), "most", s.most()).add(s.name(), "open", s.open())
-                    .add(s.name(), "closing", s.closingNow()).add(s.name(), "peak", s.peak())
-                    .add(s.name(), "turned_down", s.turnedDown());
-        }
-    }
-
     /**
      * Returns once clients can connect. A port in use is waited for, {@value #LISTEN_PATIENCE_S} s at most.
      *
--- a/src/main/java/junipercourse/fleet/Fleet.java
+++ b/src/main/java/junipercourse/fleet/Fleet.java
@@ -27,7 +27,9 @@
     private static final double PARK_MOST_S = 0.1;
     /** A wake-up that comes later than asked by so much is a stall; the system's own delays are shorter. */
     private static final double STALL_S = 0.15;
-    /** After a stall nothing is judged before all that lay at the socket is read; the longest wait for that. */
+    /**
+     * After a stall nothing is judged before all that lay at the socket is read; the longest wait for that.
+     */
     private static final double READ_FIRST_MOST_S = 0.5;
     private static final double READ_AGAIN_S = 0.001;
     /** What the view says on leaving is said again by its timers for so long. */
@@ -56,9 +58,10 @@
      * @throws IOException if the address cannot be had at all
      */
     public Fleet(String name, FleetPart part) throws IOException {
-        long seed = new SecureRandom().nextLong(); // one of the settings would be every life's and everybody's
+        long seed = new SecureRandom().nextLong(); // the settings' one may be everybody's
         Logger.info("fleet: {} of fleet {}, seed {}", name, part.name(), Long.toHexString(seed));
-        link = new FleetLink(part.name(), part.listen(), part.bounds(), line -> Logger.warn("fleet: {}", line));
+        link = new FleetLink(part.name(), part.listen(), part.bounds(),
+                line -> Logger.warn("fleet: {}", line));
         view = new View(part.view(), name, part.advertise(), part.zone(), part.seeds(), seed, new Actions());
         attention = new Attention(PARK_MOST_S, STALL_S, Double.MAX_VALUE, now(), now());
         table = new FleetTable(part, link);
--- a/src/main/java/junipercourse/fleet/link/Codec.java
+++ b/src/main/java/junipercourse/fleet/link/Codec.java
@@ -9,11 +9,11 @@
 import junipercourse.fleet.view.Word;
 
 /**
- * A word as bytes and back: four bytes of CRC32C over the rest, then one protobuf message. Nothing is read before
- * the checksum matches, which guards against damage, not against forgers; nothing of the word before fleet and
- * version do. Fields are only ever added, with a new minor version, under numbers never used; they are skipped
- * by those who do not know them. A change of a field's meaning is a new major version. Fields 1 to 3 stay for ever:
- * 1 fleet (string), 2 major, 3 minor (uint32); the rest is in {@link WordFields}.
+ * A word as bytes and back: four bytes of CRC32C over the rest, then one protobuf message. Nothing is read
+ * before the checksum matches, which guards against damage, not against forgers; nothing of the word before
+ * fleet and version do. Fields are only ever added, with a new minor version, under numbers never used; they
+ * are skipped by those who do not know them. A change of a field's meaning is a new major version. Fields 1
+ * to 3 stay for ever: 1 fleet (string), 2 major, 3 minor (uint32); the rest is in {@link WordFields}.
  */
 final class Codec {
     /** What fits into one packet on any usual path. */
--- a/src/main/java/junipercourse/fleet/link/FleetLink.java
+++ b/src/main/java/junipercourse/fleet/link/FleetLink.java
@@ -19,10 +19,10 @@
 import org.jctools.queues.atomic.SpscAtomicArrayQueue;
 
 /**
- * Words between dispatchers as UDP datagrams, on a thread of its own that is joined to the fleet thread by two
- * bounded rings. Neither side ever waits for the other: what finds no room in a ring, what is over its rate
- * and what the system does not take is dropped and counted, since each word is said again. {@link #send} and
- * {@link #poll} are for one thread, the fleet's.
+ * Words between dispatchers as UDP datagrams, on a thread of its own that is joined to the fleet thread by
+ * two bounded rings. Neither side ever waits for the other: what finds no room in a ring, what is over its
+ * rate and what the system does not take is dropped and counted, since each word is said again. {@link #send}
+ * and {@link #poll} are for one thread, the fleet's.
  */
 public final class FleetLink implements Closeable {
     /** Between two tries to have an address that another process still holds. */
--- a/src/main/java/junipercourse/fleet/link/WordFields.java
+++ b/src/main/java/junipercourse/fleet/link/WordFields.java
@@ -11,10 +11,10 @@
 
 /**
  * A word's fields in a datagram, by protobuf's rules. In proto3's words: {@code string from = 4; uint64
- * from_incarnation = 5; uint32 kind = 6; uint64 number = 7; string about = 8; fixed64 digest = 9; uint32 page =
- * 10; uint32 pages = 11; repeated Statement statements = 12}, and in a Statement {@code string name = 1; uint64
- * incarnation = 2; uint64 version = 3; uint32 standing = 4; string address = 5; string zone = 6}. Kinds and
- * standings are counted from 1 in the order of their declaration.
+ * from_incarnation = 5; uint32 kind = 6; uint64 number = 7; string about = 8; fixed64 digest = 9; uint32 page
+ * = 10; uint32 pages = 11; repeated Statement statements = 12}, and in a Statement {@code string name = 1;
+ * uint64 incarnation = 2; uint64 version = 3; uint32 standing = 4; string address = 5; string zone = 6}.
+ * Kinds and standings are counted from 1 in the order of their declaration.
  */
 final class WordFields {
     private static final int VARINT = 0;
@@ -50,8 +50,8 @@
     }
 
     /**
-     * Reads from the first field on, whose tag has been read. What comes from outside is held against the word's
-     * own bounds, of which an IllegalArgumentException names the broken one.
+     * Reads from the first field on, whose tag has been read. What comes from outside is held against the
+     * word's own bounds, of which an IllegalArgumentException names the broken one.
      */
     static Word read(int firstTag, CodedInputStream in) throws IOException {
         String from = "";
--- a/src/main/java/junipercourse/product/FaultList.java
+++ b/src/main/java/junipercourse/product/FaultList.java
@@ -23,8 +23,9 @@
     private static final int MOST = 50;
     private static final Pattern VALUE_ALONE = Pattern.compile("cvc-(pattern|datatype|minInclusive"
             + "|maxInclusive|enumeration|length)[^:]*: .*", Pattern.DOTALL);
-    private static final Pattern ATTRIBUTE = Pattern.compile("cvc-attribute\\.3: The value '(.*)' of attribute"
-            + " '(.*)' on element '.*' is not valid with respect to its type, '(.*)'\\.", Pattern.DOTALL);
+    private static final Pattern ATTRIBUTE = Pattern.compile("cvc-attribute\\.3: The value '(.*)' of"
+            + " attribute '(.*)' on element '.*' is not valid with respect to its type, '(.*)'\\.",
+            Pattern.DOTALL);
     private static final Map<String, String> RIGHT = Map.of(
             "name", "1 to 40 visible ASCII characters",
             "address", "a numeric address and a port, such as 127.0.0.1:7101",
--- a/src/main/java/junipercourse/product/FleetReader.java
+++ b/src/main/java/junipercourse/product/FleetReader.java
@@ -62,7 +62,8 @@
         InetSocketAddress listen = address(all.get("listen"));
         String advertise = all.get("advertise");
         if (advertise == null && (listen.getPort() == 0 || listen.getAddress().isAnyLocalAddress())) {
-            throw new IllegalArgumentException("advertise: missing; others cannot send to " + all.get("listen"));
+            throw new IllegalArgumentException("advertise: missing; others cannot send to "
+                    + all.get("listen"));
         }
         if (advertise != null) {
             address(advertise);
--- a/src/main/java/junipercourse/product/ProductReader.java
+++ b/src/main/java/junipercourse/product/ProductReader.java
@@ -20,8 +20,9 @@
 import org.xml.sax.XMLReader;
 
 /**
- * Reads a product file with the JDK's parser and the schema in the jar. No document type, no outside entity and
- * no more than {@link #MOST_BYTES} are taken. All faults are told at once; of a file with any, nothing is used.
+ * Reads a product file with the JDK's parser and the schema in the jar. No document type, no outside entity
+ * and no more than {@link #MOST_BYTES} are taken. All faults are told at once; of a file with any, nothing is
+ * used.
  */
 public final class ProductReader {
     /** Longest file that is read. */
--- a/src/main/java/junipercourse/product/Units.java
+++ b/src/main/java/junipercourse/product/Units.java
@@ -38,6 +38,7 @@
         } catch (NumberFormatException e) {
             // falls through to the message below, which says what was expected
         }
-        throw new IllegalArgumentException("'" + text + "' is not above 0 or has no unit; right would be " + right);
+        throw new IllegalArgumentException("'" + text + "' is not above 0 or has no unit; right would be "
+                + right);
     }
 }
--- a/src/test/java/junipercourse/cli/ManyStarts.java
+++ b/src/test/java/junipercourse/cli/ManyStarts.java
@@ -17,8 +17,9 @@
 
 /**
  * Many dispatchers of the deploy file's command line start at once. A long run, not part of the build, of the
- * packaged program: {@code mvn -q -B -ntp test -Dtest=ManyStarts -Dstarts=100}. With {@code -Dfleet=on} they are
- * one fleet, without faults between them; {@code -Dhold=SECONDS} goes on for so long and tells what that cost.
+ * packaged program: {@code mvn -q -B -ntp test -Dtest=ManyStarts -Dstarts=100}. With {@code -Dfleet=on} they
+ * are one fleet, without faults between them; {@code -Dhold=SECONDS} goes on for so long and tells what that
+ * cost.
  */
 class ManyStarts {
     private static final Path CONFIG = Path.of("deploy/sample.json");
