Merge one fleet's first step: a view of itself over datagrams, off by default

Resolved: Server keeps Tables, Ending and the staff's parts, and a Part that is null without a product file.

--- a/src/main/java/junipercourse/cli/Overlap.java
+++ b/src/main/java/junipercourse/cli/Overlap.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import junipercourse.config.Config;
 import junipercourse.core.Gateway;
 import junipercourse.net.Descriptors;
 import junipercourse.net.Loop;
@@ -59,6 +60,12 @@
         looks.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** For what outlives a process. Where dispatchers share {@code $TMPDIR}, names tell them apart. */
+    static Path folder(Config config, String what) {
+        String tmp = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
+        return Path.of(tmp, "junipercourse-" + what + "-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
+    }
+
     private void look() {
         try {
             int found = neighbours.look(used);
--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +14,7 @@
 import junipercourse.core.Counters;
 import junipercourse.core.Counters.Count;
 import junipercourse.core.Gateway;
+import junipercourse.core.Part;
 import junipercourse.core.Shows;
 import junipercourse.decision.DispatchApi.Kind;
 import junipercourse.engine.EngineClient;
@@ -56,10 +56,17 @@
     private final PgFront front;
     private final RosterClient roster;
     private final Overlap overlap; // null where no socket is handed down
+    private final Part part; // null in most installations
     private final Staff staff; // null without a second address: then nothing of it is loaded
 
     Server(Config config) throws IOException {
+        this(config, null);
+    }
+
+    /** With a part that only some installations have, or null. */
+    Server(Config config, Part part) throws IOException {
         this.config = config;
+        this.part = part;
         loop = new Loop(() -> counters.add(Count.INTERNAL_ERRORS), Server::die);
         boolean administered = config.admin() != null;
         descriptors = new Descriptors(config.resources().sockets(),
@@ -74,20 +81,17 @@
         gateway = new Gateway(loop, config.settings(), config.seed(),
                 mostTaken, engines, counters);
         Shows shows = Tables.of(loop, counters, descriptors);
+        if (part != null) {
+            part.showIn(shows);
+        }
         front = new PgFront(loop, config.settings(), gateway, clientShare,
                 (long) config.resources().memoryMb() * MEGABYTE / INPUT_PART, config.seed(), counters, shows);
         roster = new RosterClient(loop, config.bus(), config.known(), config.zones(),
                 config.settings().kinds().stream().map(Kind::name).toList(), gateway::roster, counters);
-        staff = administered ? new Staff(loop, gateway, config, folder(config, "out")) : null;
+        staff = administered ? new Staff(loop, gateway, config, Overlap.folder(config, "out")) : null;
         overlap = config.listenOn() == null ? null
                 : new Overlap(loop, descriptors, gateway, (int) (config.resources().sockets() * TAKEN_PART),
-                        folder(config, "processes"));
-    }
-
-    /** For what outlives a process. Where dispatchers share {@code $TMPDIR}, names tell them apart. */
-    private static Path folder(Config config, String what) {
-        String tmp = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
-        return Path.of(tmp, "junipercourse-" + what + "-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
+                        Overlap.folder(config, "processes"));
     }
 
     /**
@@ -113,6 +117,9 @@
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while starting", e);
         }
+        if (part != null) {
+            part.start();
+        }
         Logger.info("{} listens on {}", config.name(), front.address());
     }
 
@@ -209,6 +216,9 @@
                 staff.ending();
             }
             ending.run();
+            if (part != null) {
+                part.end();
+            }
             Logger.info("{} ends: {}; {}", config.name(), counters, descriptors);
             BoundedConsoleWriter.end();
         }, "finish"));
--- /dev/null
+++ b/src/main/java/junipercourse/fleet/view/View.java
@@ -0,0 +1,247 @@
+package junipercourse.fleet.view;
+
+import java.util.List;
+import junipercourse.fleet.view.Word.Kind;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.core.source64.SplitMix64;
+
+/**
+ * One member's view of the fleet: SWIM with Lifeguard's care, as {@code docs/design/fleet-view.md} tells.
+ * Pure: words and times come in, words and snapshots go out; no I/O, no clock, no threads. Times are
+ * seconds of one monotonic clock. To be used by one thread.
+ *
+ * <p>{@link #next} says when {@link #tick} is due. A tick that comes late by more than {@link #LATE_S} is
+ * taken for a stall of our own, as if {@link #stalled} had been called: it is held against nobody.
+ */
+public final class View {
+    /** A tick that is later than this was held up, together with what we should have heard meanwhile. */
+    static final double LATE_S = 0.3;
+    private static final double FORGET_EVERY_S = 1;
+    private static final int SEEDS_MOST = 32;
+
+    private final Settings settings;
+    private final List<String> seeds;
+    private final Roll roll;
+    private final Post post;
+    private final Prober prober;
+    private final Sync sync;
+    private final Life life;
+    private final Learner learner;
+    private final Calls calls;
+    private final Out out;
+    private Faults faults = Faults.NONE;
+    private double due = Double.POSITIVE_INFINITY;
+    private double at;
+    private double nextForget;
+    private boolean left;
+    private boolean settled;
+
+    /** Faults put in on purpose by tests, which must see their judges find them. */
+    enum Faults {
+        NONE, REUSED_INCARNATION, STALL_HELD_AGAINST_OTHERS, OLD_WORDS_BELIEVED
+    }
+
+    /**
+     * @param name of the process in the fleet
+     * @param address where others send to; fixed for the life
+     * @param seeds addresses asked at the start and while they are no members; at most 32, the own is left
+     *     out
+     * @param seed of all random numbers; must differ at each start, or a life may be taken for an earlier one
+     * @throws IllegalArgumentException naming the key, for texts out of bounds
+     */
+    public View(Settings settings, String name, String address, String zone, List<String> seeds, long seed,
+            Out out) {
+        this.settings = settings;
+        this.seeds = seeds.stream().filter(each -> !each.equals(address)).distinct().toList();
+        if (this.seeds.size() > SEEDS_MOST) {
+            throw new IllegalArgumentException("seeds: " + SEEDS_MOST + " are allowed, got "
+                + this.seeds.size());
+        }
+        this.seeds.forEach(each -> Statement.text("seed", each, Statement.ADDRESS_MOST, 1));
+        this.out = out;
+        UniformRandomProvider random = new SplitMix64(seed);
+        Rumours rumours = new Rumours();
+        this.roll = new Roll(settings);
+        this.post = new Post(settings, roll, rumours, out);
+        this.prober = new Prober(settings, roll, post, random);
+        this.sync = new Sync(settings, roll, post);
+        Statement none = new Statement(name, 0, 0, Standing.ALIVE, address, zone);
+        this.life = new Life(settings, roll, post, none, this.seeds, random, out);
+        this.learner = new Learner(settings, roll, rumours, post, prober, life, out);
+        this.calls = new Calls(settings, this.seeds, roll, post, random);
+    }
+
+    void put(Faults fault) {
+        faults = fault;
+        roll.oldWordsBelieved = fault == Faults.OLD_WORDS_BELIEVED;
+        life.reused = fault == Faults.REUSED_INCARNATION;
+    }
+
+    /** Starts to ask for earlier lives; the own one begins when that is answered, or in time without. */
+    public void start(double now) {
+        if (due != Double.POSITIVE_INFINITY) {
+            throw new IllegalStateException("was started");
+        }
+        due = now;
+        life.start(now);
+        tick(now);
+    }
+
+    /** When {@link #tick} is due; infinity before the start and when the farewell is over. */
+    public double next() {
+        return due;
+    }
+
+    /** A word was read; {@code fromAddress} is answered to only if the word tells no better address. */
+    public void heard(double now, String fromAddress, Word word) {
+        if (left || due == Double.POSITIVE_INFINITY) {
+            return;
+        }
+        String name = post.self().name();
+        boolean namesake = word.from().equals(name);
+        for (Statement statement : word.statements()) {
+            if (statement.incarnation() > 0) {
+                learner.learn(statement, now);
+            }
+        }
+        String answer = word.statements().isEmpty() || !word.statements().get(0).name().equals(word.from())
+            ? fromAddress : word.statements().get(0).address();
+        if (!life.living()) {
+            life.heard(word, now);
+            if (word.kind() == Kind.ASK_PAGE && !namesake) {
+                sync.tell(answer, word, now);
+            }
+        } else if (namesake) {
+            if (word.kind() == Kind.PING && !answer.equals(post.self().address())) {
+                life.namesake(word.statements().get(0), now);
+                post.to(answer, Kind.ACK, word.number(), name, List.of(), 0, 0);
+            }
+        } else if (word.fromIncarnation() == 0) {
+            if (word.kind() == Kind.ASK_PAGE) {
+                sync.tell(answer, word, now);
+            }
+        } else {
+            heardMember(answer, word, now);
+        }
+        tell(now);
+    }
+
+    private void heardMember(String answer, Word word, double now) {
+        Peer peer = roll.get(word.from());
+        Statement known = roll.known(word.from());
+        boolean older = known != null && word.fromIncarnation() < known.incarnation();
+        if (peer == null || peer.st.incarnation() != word.fromIncarnation()) {
+            if (known != null && (older || peer == null)) { // an ended or forgotten life: it is told so
+                post.to(answer, Kind.ACK, word.number(), known.name(), List.of(known), 0, 0);
+            }
+            return;
+        }
+        prober.heard(peer, now);
+        peer.digest = word.digest();
+        if (word.digest() != roll.digest()) {
+            sync.differs(peer, now);
+        }
+        switch (word.kind()) {
+            case PING -> {
+                if (word.about().equals(post.self().name())) {
+                    post.toPeer(peer, Kind.ACK, word.number(), word.about(), null);
+                }
+            }
+            case ACK -> prober.ack(word.number(), word.about(), now);
+            case PING_REQ -> prober.relay(peer, word.number(), word.about(), now);
+            case ASK_PAGE -> sync.tell(answer, word, now);
+            default -> sync.page(word, now);
+        }
+    }
+
+    /** Carries out what is due. */
+    public void tick(double now) {
+        if (now - due > LATE_S) {
+            stalled(now, now - due);
+        }
+        if (now < due) {
+            return;
+        }
+        due = Math.max(due, now) + settings.beat();
+        if (left) {
+            sayFarewell();
+        } else if (!life.living()) {
+            if (life.tick(now)) {
+                learner.own(life.begin(), now);
+                prober.restart(now);
+            }
+        } else {
+            prober.tick(now, statement -> learner.join(statement, now));
+            sync.tick(now);
+            calls.reach(now);
+            calls.askDiffering(now);
+            forget(now);
+        }
+        tell(now);
+    }
+
+    private void forget(double now) {
+        if (now >= nextForget) {
+            nextForget = now + FORGET_EVERY_S;
+            roll.due(now).forEach(statement -> learner.join(statement, now));
+        }
+    }
+
+    /**
+     * A gap of our own has just ended, in which we read nothing: questions and the time of suspects begin
+     * anew.
+     */
+    public void stalled(double now, double seconds) {
+        due = Math.max(due, now);
+        if (faults != Faults.STALL_HELD_AGAINST_OTHERS) {
+            prober.restart(now);
+            sync.restart();
+            life.stalled(now);
+        }
+    }
+
+    /** Says that this life is over; goes on saying so for a few ticks, until {@link #next} is infinity. */
+    public void leave(double now) {
+        if (left) {
+            return;
+        }
+        left = true;
+        if (life.living()) {
+            Statement self = post.self();
+            post.self(self.with(self.version() + 2).with(Standing.LEFT));
+            learner.own(post.self(), now);
+            sayFarewell();
+        } else {
+            due = Double.POSITIVE_INFINITY;
+        }
+        tell(now);
+    }
+
+    /**
+     * Another process that uses our name, with a later life or none, as last heard of; null if there is none.
+     */
+    public Statement rival() {
+        return life.rival(at);
+    }
+
+    private void sayFarewell() {
+        if (calls.farewell()) {
+            due = Double.POSITIVE_INFINITY;
+        }
+    }
+
+    private void tell(double now) {
+        at = now;
+        boolean agreed = life.living() && roll.agreed(post.self().name());
+        if (learner.changed() || agreed != settled) {
+            settled = agreed;
+            out.changed(snapshot());
+        }
+    }
+
+    /** What is known now. */
+    public Snapshot snapshot() {
+        return new Snapshot(post.self().member(), roll.seen(), roll.digest(),
+            life.living() && roll.agreed(post.self().name()), at);
+    }
+}
--- /dev/null
+++ b/src/test/java/junipercourse/fleet/link/CodecTest.java
@@ -0,0 +1,113 @@
+package junipercourse.fleet.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.CodedOutputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.zip.CRC32C;
+import junipercourse.fleet.view.Standing;
+import junipercourse.fleet.view.Statement;
+import junipercourse.fleet.view.Word;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Words survive the wire; what is damaged, strange or newer is refused by its reason. */
+class CodecTest {
+    private static final Word SMALL = new Word("n1", 7, Word.Kind.PING, 3, "n2", -1, List.of(), 0, 0);
+
+    private static String text(Random random, int least, int most) {
+        return random.ints(least + random.nextInt(most - least + 1), '!', '~' + 1)
+                .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append)
+                .toString();
+    }
+
+    /** A word as full as its own bounds allow, so that the datagram's bound is met. */
+    private static Word word(Random random) {
+        List<Statement> statements = new ArrayList<>();
+        int bytes = 0;
+        for (int i = random.nextInt(Word.STATEMENTS_MOST + 1); i > 0; i--) {
+            Statement s = new Statement(text(random, 1, 40), random.nextLong() >>> 1, random.nextLong() >>> 1,
+                    Standing.values()[random.nextInt(4)], text(random, 1, 48), text(random, 0, 40));
+            bytes += s.bytes();
+            if (bytes <= Word.STATEMENT_BYTES) {
+                statements.add(s);
+            }
+        }
+        return new Word(text(random, 1, 40), random.nextLong() >>> 1,
+                Word.Kind.values()[random.nextInt(5)], random.nextLong(), text(random, 0, 40),
+                random.nextLong(), statements, random.nextInt(100), random.nextInt(100));
+    }
+
+    @Property(tries = 2000, seed = "28")
+    void everyWordFitsComesBackAndNoDamageIsTaken(@ForAll long seed) {
+        Random random = new Random(seed);
+        Codec codec = new Codec(text(random, 1, 40));
+        Word word = word(random);
+        ByteBuffer bytes = ByteBuffer.allocate(Codec.MOST_BYTES);
+        assertTrue(codec.write(word, bytes), () -> "does not fit: " + word);
+        assertEquals(new Codec.Read(word, null), codec.read(bytes));
+        int bit = random.nextInt(bytes.limit() * 8);
+        bytes.rewind().put(bit / 8, (byte) (bytes.get(bit / 8) ^ 1 << bit % 8));
+        assertEquals(Refusal.DAMAGED, codec.read(bytes).refusal());
+    }
+
+    @Property(tries = 2000, seed = "29")
+    void garbageBehindAGoodChecksumIsRefusedOrAWord(@ForAll byte[] garbage) {
+        ByteBuffer bytes = framed(garbage);
+        Codec.Read read = new Codec("f").read(bytes);
+        assertTrue(read.word() == null != (read.refusal() == null));
+    }
+
+    private static ByteBuffer framed(byte[] body) {
+        CRC32C crc = new CRC32C();
+        crc.update(body);
+        return ByteBuffer.allocate(4 + body.length).putInt((int) crc.getValue()).put(body).rewind();
+    }
+
+    @Test
+    void strangersAndNewerFormatsAreNamed() throws Exception {
+        Codec codec = new Codec("f");
+        ByteBuffer bytes = ByteBuffer.allocate(Codec.MOST_BYTES);
+        codec.write(SMALL, bytes);
+        assertEquals(Refusal.OTHER_FLEET, new Codec("g").read(bytes).refusal());
+        assertEquals(Refusal.NEWER_FORMAT, new Codec("f", 0, 0).read(bytes).refusal());
+        assertEquals(Refusal.UNREADABLE, new Codec("f", 2, 0).read(bytes).refusal(), "an older one");
+        byte[] body = Arrays.copyOfRange(bytes.array(), 4, bytes.limit());
+        byte[] minor = Arrays.copyOf(body, body.length + 5);
+        CodedOutputStream.newInstance(minor, body.length, 5).writeFixed32(13, 7);
+        assertEquals(new Codec.Read(SMALL, null), codec.read(framed(minor)), "a field that came later");
+        byte[] kind = Arrays.copyOf(body, body.length + 2);
+        CodedOutputStream.newInstance(kind, body.length, 2).writeUInt32(6, 9);
+        assertEquals(Refusal.UNREADABLE, codec.read(framed(kind)).refusal());
+        assertEquals(Refusal.UNREADABLE, codec.read(framed(Arrays.copyOf(body, 9))).refusal(), "no word");
+        assertEquals(Refusal.TOO_LONG, codec.read(ByteBuffer.allocate(Codec.MOST_BYTES + 1)).refusal());
+        assertEquals(Refusal.DAMAGED, codec.read(ByteBuffer.allocate(0)).refusal());
+    }
+
+    /** One address that floods is held down alone; all together are, too; what is unused lasts a second. */
+    @Test
+    void ratesHoldForEachAndForAll() {
+        Rate rate = new Rate(10, 25);
+        assertEquals(10, taken(rate, "a", 100, 0));
+        assertEquals(10, taken(rate, "b", 100, 0));
+        assertEquals(5, taken(rate, "c", 100, 0));
+        assertEquals(5, taken(rate, "a", 100, 0.5));
+        assertEquals(10, taken(rate, "a", 100, 60));
+        assertFalse(rate.take("d", 11, 60), "more than a second's worth never passes");
+    }
+
+    private static int taken(Rate rate, String who, int tries, double now) {
+        int passed = 0;
+        for (int i = 0; i < tries; i++) {
+            passed += rate.take(who, 1, now) ? 1 : 0;
+        }
+        return passed;
+    }
+}
