Share descriptors by claims that are told before they are used

Cause: a property over random orders of looks found 120 of 100 held by two processes: each grew on an old word of what the other had. Change: claims are made one process at a time and told before they are used; what is not used of a claim is given back by half at each look. While another process runs, connections idle for 0.1 s give way, since clients hold a third with both.

--- a/src/main/java/junipercourse/cli/Overlap.java
+++ b/src/main/java/junipercourse/cli/Overlap.java
@@ -10,6 +10,7 @@
 import junipercourse.net.Descriptors;
 import junipercourse.net.Loop;
 import junipercourse.ops.Neighbours;
+import junipercourse.pg.PgFront;
 import org.tinylog.Logger;
 
 /**
@@ -29,12 +30,14 @@
     private final Loop loop;
     private final Descriptors descriptors;
     private final Gateway gateway;
-    private final int alone;
-    private final int beside;
+    private final PgFront front;
+    private final int mostAlone;
+    private final int mostBeside;
     private final Neighbours neighbours;
     private final ScheduledThreadPoolExecutor looks;
-    private volatile int used;
-    private int others = -1;
+    /** What this process keeps itself to, which is told to the others at its next look. */
+    private volatile int held;
+    private boolean beside;
 
     /**
      * Looks once before it returns, so that a process knows from its first moment that it is not alone.
@@ -42,14 +45,15 @@
      * @param mostTaken queries in hand of all processes together
      * @throws IOException if the folder cannot be used
      */
-    Overlap(Loop loop, Descriptors descriptors, Gateway gateway, int mostTaken, Path folder)
+    Overlap(Loop loop, Descriptors descriptors, Gateway gateway, PgFront front, int mostTaken, Path folder)
             throws IOException {
         this.loop = loop;
         this.descriptors = descriptors;
         this.gateway = gateway;
-        this.alone = (int) (descriptors.limit() * ALONE_PART);
-        this.beside = mostTaken - alone;
-        used = descriptors.used();
+        this.front = front;
+        this.mostAlone = (int) (descriptors.limit() * ALONE_PART);
+        this.mostBeside = mostTaken - mostAlone;
+        held = descriptors.used();
         neighbours = new Neighbours(folder);
         look();
         looks = new ScheduledThreadPoolExecutor(1, task -> {
@@ -68,21 +72,26 @@
 
     private void look() {
         try {
-            int found = neighbours.look(used);
-            loop.execute(() -> take(found));
+            int[] claim = new int[1];
+            int found = neighbours.claim(others -> {
+                claim[0] = Descriptors.claim(held, others, descriptors.limit());
+                return claim[0];
+            });
+            loop.execute(() -> take(claim[0], found >= 0));
         } catch (IOException | RuntimeException e) { // the bounds stay as they are
             Logger.error("whether another process runs beside this one is not known: {}", e.toString());
         }
     }
 
-    private void take(int found) {
-        if (found < 0 != others < 0) {
-            Logger.info(found < 0 ? "this process is alone" : "another process runs beside this one");
-            gateway.takeAtMost(found < 0 ? alone : beside);
+    private void take(int claim, boolean another) {
+        if (another != beside) {
+            beside = another;
+            Logger.info(another ? "another process runs beside this one" : "this process is alone");
+            front.beside(another);
+            gateway.takeAtMost(another ? mostBeside : mostAlone);
         }
-        others = found;
-        descriptors.beside(found);
-        used = descriptors.used();
+        descriptors.allow(claim, another);
+        held = descriptors.allowed();
     }
 
     @Override
--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -90,7 +90,8 @@
                 config.settings().kinds().stream().map(Kind::name).toList(), gateway::roster, counters);
         staff = administered ? new Staff(loop, gateway, config, Overlap.folder(config, "out")) : null;
         overlap = config.listenOn() == null ? null
-                : new Overlap(loop, descriptors, gateway, (int) (config.resources().sockets() * TAKEN_PART),
+                : new Overlap(loop, descriptors, gateway, front,
+                        (int) (config.resources().sockets() * TAKEN_PART),
                         Overlap.folder(config, "processes"));
     }
 
--- a/src/main/java/junipercourse/net/Descriptors.java
+++ b/src/main/java/junipercourse/net/Descriptors.java
@@ -37,12 +37,25 @@
         return own + shares.stream().mapToInt(s -> s.open + s.closing).sum();
     }
 
+    /** What this process may hold for now; its limit while it is alone. */
+    public int allowed() {
+        return allowed;
+    }
+
     /**
-     * Another process shares the limit, and has so many; -1: none does. Each may grow by half of what is left
-     * at its look, so that both together stay below the limit whoever grows first.
+     * What a process may claim beside another: half of what neither claims, so that both get at it. Claims are
+     * made one at a time, and each is told before it is used: so all together stay below the limit.
+     *
+     * @param held what it claims by now, at least all that it holds
+     * @param others what all others claim; -1: there are none
      */
-    public void beside(int others) {
-        allowed = others < 0 ? limit : used() + Math.max(0, limit - used() - others) / 2;
+    public static int claim(int held, int others, int limit) {
+        return others < 0 ? limit : held + Math.max(0, limit - held - others) / 2;
+    }
+
+    /** Takes a claim on that has been told. Beside others, half of what is not used of it is given back. */
+    public void allow(int claimed, boolean beside) {
+        allowed = beside ? used() + Math.max(0, claimed - used()) / 2 : limit;
     }
 
     /** What is not promised to any share yet. */
--- a/src/main/java/junipercourse/ops/Neighbours.java
+++ b/src/main/java/junipercourse/ops/Neighbours.java
@@ -8,12 +8,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.function.IntUnaryOperator;
 import org.tinylog.Logger;
 
 /**
  * The processes of one dispatcher that run at a time, while one replaces the other: each holds the lock of a
- * numbered file in the folder that they share, and writes there how many descriptors it has. The system gives
- * a lock back however its process ends, so that nobody is counted who is gone, and no pid is ever trusted.
+ * numbered file in the folder that they share, and writes there how many descriptors it claims. The system
+ * gives a lock back however its process ends, so that nobody is counted who is gone, and no pid is ever trusted.
  */
 public final class Neighbours implements Closeable {
     /** More processes of one dispatcher are never started: the next one finds no number and ends. */
@@ -27,7 +28,7 @@
     public Neighbours(Path folder) throws IOException {
         this.folder = Files.createDirectories(folder);
         for (int i = 0; i < MOST; i++) {
-            FileChannel file = open(i);
+            FileChannel file = open(name(i));
             FileLock taken = file.tryLock();
             if (taken != null) {
                 mine = file;
@@ -40,30 +41,38 @@
         throw new IOException(folder + ": " + MOST + " processes run already");
     }
 
-    private FileChannel open(int i) throws IOException {
-        return FileChannel.open(folder.resolve("process-" + i), StandardOpenOption.CREATE,
+    private static String name(int i) {
+        return "process-" + i;
+    }
+
+    private FileChannel open(String name) throws IOException {
+        return FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE,
                 StandardOpenOption.READ, StandardOpenOption.WRITE);
     }
 
     /**
-     * Tells the others what this process has, and asks what they have.
+     * Makes a claim beside those of the others, one process at a time.
      *
-     * @return the descriptors of all others; -1 if there is no other
-     * @throws IOException if the files cannot be read: then nothing is known of others
+     * @param claim what to claim, given what all others claim together, or -1 if there is no other
+     * @return what all others claim together; -1 if there is no other
+     * @throws IOException if the files cannot be used: then nothing is claimed anew
      */
-    public int look(int descriptors) throws IOException {
-        mine.write(ByteBuffer.allocate(Integer.BYTES).putInt(0, descriptors), 0);
-        int others = -1;
-        for (int i = 0; i < MOST; i++) {
-            if (i != number && Files.exists(folder.resolve("process-" + i))) {
-                others = add(others, i);
+    public int claim(IntUnaryOperator claim) throws IOException {
+        try (FileChannel turn = open("turn"); FileLock one = turn.lock()) {
+            int others = -1;
+            for (int i = 0; i < MOST; i++) {
+                if (i != number && Files.exists(folder.resolve(name(i)))) {
+                    others = add(others, i);
+                }
             }
+            int claimed = claim.applyAsInt(others);
+            mine.write(ByteBuffer.allocate(Integer.BYTES).putInt(0, claimed), 0);
+            return one.isValid() ? others : -1;
         }
-        return others;
     }
 
     private int add(int sum, int i) throws IOException {
-        try (FileChannel file = open(i); FileLock free = file.tryLock()) {
+        try (FileChannel file = open(name(i)); FileLock free = file.tryLock()) {
             if (free != null) { // nobody holds it: its process has ended
                 return sum;
             }
--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -26,6 +26,7 @@
     private static final double FRESH_S = 0.25; // a client that means to ask does so well within this
     private static final double IDLE_MOST_S = 8.0; // clients close what is idle for half as long
     private static final double IDLE_CROWDED_S = 0.5; // while clients have opened about all that they may
+    private static final double IDLE_BESIDE_S = 0.1; // while another process shares what clients may open
     private static final double CROSSING_S = 0.06; // a query that crosses a close within 50 ms comes again
 
     private final Loop loop;
@@ -41,6 +42,7 @@
     private final Slots<Session> sessions = new Slots<>();
     private AcceptingChannel<StreamConnection> server;
     private boolean sharesSocket;
+    private boolean beside;
     private Runnable whenEmpty;
     private boolean ending;
     private final long mostInput;
@@ -78,6 +80,14 @@
         loop.after(LOOK_S, this::lookAround);
     }
 
+    /**
+     * Another process runs beside this one: clients hold at most a third of all descriptors with both, and
+     * connections that rest here keep queries out there.
+     */
+    public void beside(boolean another) {
+        beside = another;
+    }
+
     /** Whether other processes accept from the same socket. */
     public boolean sharesSocket() {
         return sharesSocket;
@@ -102,7 +112,8 @@
             // Guards clients, which open no more than a third of the descriptors, against running out of
             // connections because some hold theirs for good: what is idle gives way in time.
             boolean crowded = sessions.size() > mostClients / 2;
-            s.expire(now, whenEmpty != null ? CROSSING_S : crowded ? IDLE_CROWDED_S : IDLE_MOST_S);
+            s.expire(now, whenEmpty != null ? CROSSING_S : beside ? IDLE_BESIDE_S
+                    : crowded ? IDLE_CROWDED_S : IDLE_MOST_S);
         }
         if (whenEmpty != null && sessions.size() == 0) {
             whenEmpty.run();
