--- a/src/main/java/junipercourse/net/Descriptors.java
+++ b/src/main/java/junipercourse/net/Descriptors.java
@@ -43,7 +43,7 @@
     }
 
     /**
-     * What a process may claim beside another: half of what neither claims, so that both get at it. Claims are
+     * What a process may claim beside another: half of what neither claims, so that both get some. Claims are
      * made one at a time, and each is told before it is used: so all together stay below the limit.
      *
      * @param held what it claims by now, at least all that it holds
--- a/src/main/java/junipercourse/ops/Neighbours.java
+++ b/src/main/java/junipercourse/ops/Neighbours.java
@@ -14,7 +14,7 @@
 /**
  * The processes of one dispatcher that run at a time, while one replaces the other: each holds the lock of a
  * numbered file in the folder that they share, and writes there how many descriptors it claims. The system
- * gives a lock back however its process ends, so that nobody is counted who is gone, and no pid is ever trusted.
+ * gives a lock back however its process ends: nobody is counted who is gone, and no pid is ever trusted.
  */
 public final class Neighbours implements Closeable {
     /** More processes of one dispatcher are never started: the next one finds no number and ends. */
