--- a/src/main/java/junipercourse/net/Descriptors.java
+++ b/src/main/java/junipercourse/net/Descriptors.java
@@ -131,6 +131,12 @@
             return true;
         }
 
+        /** Counts one that is open already, whatever the bounds: the system has accepted it. */
+        public void hold() {
+            open++;
+            peak = Math.max(peak, open + closing);
+        }
+
         /** One is being closed. */
         public void closing() {
             if (open <= 0) {
--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -138,7 +138,7 @@
             counters.add(Count.CLIENTS_ACCEPTED);
         }
         session.slot = sessions.add(session);
-        share.take();
+        share.hold();
         full();
     }
 
--- a/src/test/java/junipercourse/net/DescriptorsBesideTest.java
+++ b/src/test/java/junipercourse/net/DescriptorsBesideTest.java
@@ -1,8 +1,11 @@
 package junipercourse.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -21,6 +24,19 @@
         int held = OWN;
     }
 
+    /** What the system has accepted is counted, also past the bound, and can be given back. */
+    @Example
+    void whatIsAcceptedPastTheBoundIsCounted() {
+        Side s = new Side();
+        s.descriptors.allow(OWN, true);
+        assertFalse(s.share.take(), "nothing is left to open");
+        s.share.hold();
+        assertEquals(OWN + 1, s.descriptors.used());
+        s.share.closing();
+        s.share.gone();
+        assertEquals(OWN, s.descriptors.used());
+    }
+
     /**
      * A step is one process's claim, its loop's taking that on, an attempt to open as many as it may, or the
      * close of one. Whatever the order, both together never hold more than the limit.
