--- a/src/main/java/junipercourse/cli/Ending.java
+++ b/src/main/java/junipercourse/cli/Ending.java
@@ -24,12 +24,15 @@
     private final Gateway gateway;
     private final PgFront front;
     private final double answeredAfter;
+    private final int kept;
     private final CountDownLatch done = new CountDownLatch(1);
 
-    Ending(Loop loop, Gateway gateway, PgFront front, Settings settings) {
+    /** Of a process that is replaced, {@code kept} queries stay in hand at most. */
+    Ending(Loop loop, Gateway gateway, PgFront front, Settings settings, int kept) {
         this.loop = loop;
         this.gateway = gateway;
         this.front = front;
+        this.kept = kept;
         double longest = settings.classes().stream().mapToDouble(QueryClass::deadline).max().orElse(0);
         answeredAfter = front.sharesSocket() ? Math.min(REPLACED_MOST_S, longest) + REPLACED_MARGIN_S
                 : ALL_ANSWERED_S;
@@ -59,7 +62,7 @@
 
     /** What comes on connections that were open before is started at once, or sent on as well. */
     private void handOver() {
-        gateway.lastAnswers().handOver();
+        gateway.lastAnswers().handOver(kept);
         loop.after(HAND_OVER_S, this::handOver);
     }
 
--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -52,6 +52,7 @@
     private final Loop loop;
     private final Descriptors descriptors;
     private final Counters counters = new Counters();
+    private final int mostTaken;
     private final Gateway gateway;
     private final PgFront front;
     private final RosterClient roster;
@@ -74,9 +75,8 @@
         int toEngines = (int) (descriptors.free() * ENGINE_PART);
         Descriptors.Share engineShare = descriptors.share("engines", toEngines - CLOSING, CLOSING);
         Descriptors.Share clientShare = descriptors.share("clients", descriptors.free(), 0);
-        EngineClient engines = new EngineClient(loop, config.settings(),
-                engineShare, counters);
-        int mostTaken = (int) (config.resources().sockets()
+        EngineClient engines = new EngineClient(loop, config.settings(), engineShare, counters);
+        mostTaken = (int) (config.resources().sockets()
                 * (config.listenOn() == null ? TAKEN_PART : Overlap.ALONE_PART));
         gateway = new Gateway(loop, config.settings(), config.seed(),
                 mostTaken, engines, counters);
@@ -211,7 +211,7 @@
 
     /** From now on SIGTERM ends the program in good order. */
     void finishOnShutdown() {
-        Ending ending = new Ending(loop, gateway, front, config.settings());
+        Ending ending = new Ending(loop, gateway, front, config.settings(), mostTaken);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             if (staff != null) {
                 staff.ending();
