Refuse to put an engine back while the folder of those taken out is gone

What was out stays out when the folder cannot be read, but a call that put an engine back was told yes then, since the file to be deleted was not there, and the engine stayed out.

--- a/src/main/java/junipercourse/ops/OutFiles.java
+++ b/src/main/java/junipercourse/ops/OutFiles.java
@@ -25,6 +25,7 @@
     private final Path folder;
     private final Set<String> strange = new HashSet<>();
     private Set<EngineId> last = Set.of();
+    private String fault = "";
 
     /** @throws IOException if the folder is not there and cannot be made */
     public OutFiles(Path folder) throws IOException {
@@ -56,6 +57,9 @@
 
     /** @throws IOException if that cannot be kept: then nothing has changed */
     public synchronized void in(EngineId id) throws IOException {
+        if (!Files.isDirectory(folder)) { // no file is there, and yet what was out stays out
+            throw new IOException(folder + " is not there");
+        }
         Files.deleteIfExists(file(id));
     }
 
@@ -73,8 +77,12 @@
                 }
             }
             last = Set.copyOf(out);
+            fault = "";
         } catch (IOException | RuntimeException e) { // the stream's own failures come unchecked
-            Logger.error("the engines taken out cannot be read, and stay as they were: {}", e.toString());
+            if (!fault.equals(e.toString())) { // it is read several times a second
+                fault = e.toString();
+                Logger.error("the engines taken out cannot be read, and stay as they were: {}", fault);
+            }
         }
         return last;
     }
