--- a/src/test/java/junipercourse/DispatcherProcess.java
+++ b/src/test/java/junipercourse/DispatcherProcess.java
@@ -21,10 +21,14 @@
 
     /** The same with a configuration from elsewhere, after a shell's command; the log is in the folder. */
     public DispatcherProcess(Path folder, int descriptors, Path config, String first) throws IOException {
-        this(folder.resolve("log"), config, first + "ulimit -n " + descriptors
-                + " && exec '" + System.getProperty("java.home") + "/bin/java' -XX:-UsePerfData -Xmx48m"
-                + " -XX:+UseSerialGC -cp '" + System.getProperty("java.class.path")
-                + "' junipercourse.cli.Main serve");
+        this(folder.resolve("log"), config, first + command(descriptors));
+    }
+
+    /** A shell's command that runs the program, bound to so many descriptors, in the shell's place. */
+    static String command(int descriptors) {
+        return "ulimit -n " + descriptors + " && exec '" + System.getProperty("java.home")
+                + "/bin/java' -XX:-UsePerfData -Xmx48m -XX:+UseSerialGC -cp '"
+                + System.getProperty("java.class.path") + "' junipercourse.cli.Main serve";
     }
 
     private DispatcherProcess(Path log, Path config, String command) throws IOException {
--- /dev/null
+++ b/src/test/java/junipercourse/HeldSocket.java
@@ -0,0 +1,207 @@
+package junipercourse;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.Writer;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Predicate;
+
+/**
+ * Holds the clients' listening socket as the platform does (DAYS, replacing the process) and starts programs
+ * that have it as descriptor 0. A JVM can hand no socket down, so a few lines of perl, which is part of any
+ * Debian, hold it. They end with this JVM and kill what still runs of theirs then.
+ */
+public final class HeldSocket implements Closeable {
+    private static final String HOLDER = """
+            use Socket; $| = 1; my ($held, $given, %runs) = (undef, '');
+            socket($held, PF_INET, SOCK_STREAM, 0) && bind($held, sockaddr_in(0, INADDR_LOOPBACK))
+                && ($ARGV[0] == 0 || listen($held, $ARGV[0])) or die "no socket: $!";
+            print 'port ', (sockaddr_in(getsockname $held))[0], "\\n";
+            for (my $more = 1; $more;) {
+              my $read = ''; vec($read, 0, 1) = 1;
+              $more = sysread(STDIN, $given, 65536, length $given) if select($read, undef, undef, 0.01) > 0;
+              while ($given =~ s/^(.*)\\n//) {
+                my $line = $1; my $pid = fork;
+                if ($pid == 0) { open(STDIN, '<&', $held); exec '/bin/sh', '-c', $line; exit 127; }
+                $runs{$pid} = 1; print "runs $pid\\n";
+              }
+              while ((my $pid = waitpid(-1, 1)) > 0) { delete $runs{$pid}; print "ended $pid $?\\n"; }
+            }
+            kill 'KILL', keys %runs;
+            """;
+    private static final int BACKLOG = 512;
+    private static final int DESCRIPTORS = 1024;
+    /** A process may take 5.2 s to end by itself, and longer to start on a busy machine. */
+    public static final long PATIENCE_MS = 20_000;
+
+    private final Process holder;
+    private final Writer lines;
+    private final List<String> told = new CopyOnWriteArrayList<>();
+    private final Map<Long, Integer> ended = new ConcurrentHashMap<>();
+    private final Path folder;
+    private final int port;
+    private int programs;
+
+    /** Listens; logs, the configuration and {@code $TMPDIR} of what it starts are in the folder. */
+    public HeldSocket(Path folder) throws IOException {
+        this(folder, BACKLOG);
+    }
+
+    /** The same with a backlog; without one it is bound only. */
+    public HeldSocket(Path folder, int backlog) throws IOException {
+        this.folder = folder;
+        Files.createDirectories(temporary());
+        holder = new ProcessBuilder("perl", "-e", HOLDER, Integer.toString(backlog))
+                .redirectError(folder.resolve("holder.log").toFile()).start();
+        lines = holder.outputWriter(StandardCharsets.UTF_8);
+        BufferedReader from = holder.inputReader(StandardCharsets.UTF_8);
+        TestBench.daemon(() -> {
+            for (String line = from.readLine(); line != null; line = from.readLine()) {
+                String[] words = line.split(" ");
+                if (words[0].equals("ended")) {
+                    ended.put(Long.parseLong(words[1]), Integer.parseInt(words[2]));
+                } else {
+                    told.add(line);
+                }
+            }
+        });
+        port = (int) told("port ", 0);
+    }
+
+    private long told(String start, int number) {
+        Predicate<String> sought = line -> line.startsWith(start);
+        TestBench.await(() -> told.stream().filter(sought).count() > number, PATIENCE_MS);
+        return Long.parseLong(told.stream().filter(sought).skip(number).findFirst().orElseThrow()
+                .substring(start.length()));
+    }
+
+    /** Where clients connect. */
+    public InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** What the programs share as their {@code $TMPDIR}. */
+    public Path temporary() {
+        return folder.resolve("tmp");
+    }
+
+    /** Writes the configuration of what is started from now on. */
+    public void configure(String text) throws IOException {
+        Files.writeString(folder.resolve("config.json"), text);
+    }
+
+    /** Starts one more dispatcher at this socket, with a second address of its own. */
+    public Program start() throws IOException {
+        return start("", Map.of());
+    }
+
+    /** The same with other variables, and after a shell's commands. */
+    public Program start(String first, Map<String, String> other) throws IOException {
+        Path log = folder.resolve("log" + programs);
+        Map<String, String> variables = new TreeMap<>(Map.of("RELAY_FD", "0", "RELAY_ADMIN", "127.0.0.1:0",
+                "RELAY_LISTEN", "127.0.0.1:" + port, "TMPDIR", temporary().toString(),
+                "RELAY_CONFIG", folder.resolve("config.json").toString()));
+        variables.putAll(other);
+        StringBuilder line = new StringBuilder("exec >'" + log + "' 2>&1; ");
+        variables.forEach((k, v) -> line.append("export ").append(k).append("='").append(v).append("'; "));
+        Files.createFile(log);
+        lines.write(line + first + DispatcherProcess.command(DESCRIPTORS) + "\n");
+        lines.flush();
+        return new Program(log, told("runs ", programs++));
+    }
+
+    @Override
+    public void close() throws IOException {
+        lines.close();
+        try {
+            holder.waitFor();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** An answer at the second address. */
+    public record Answer(int status, String body) { }
+
+    /** One process that has the socket as its descriptor 0. */
+    public final class Program {
+        private final Path log;
+        private final long pid;
+
+        private Program(Path log, long pid) {
+            this.log = log;
+            this.pid = pid;
+        }
+
+        /** What it has logged. */
+        public String log() {
+            try {
+                return Files.readString(log);
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        }
+
+        /** Sends it a signal, unless it has ended. */
+        public void signal(String name) throws IOException, InterruptedException {
+            if (isAlive()) {
+                new ProcessBuilder("kill", "-" + name, Long.toString(pid)).start().waitFor();
+            }
+        }
+
+        public boolean isAlive() {
+            return !ended.containsKey(pid);
+        }
+
+        /** Waits for its end and returns its exit code; that of one killed by a signal is 128 and more. */
+        public int exitCode() {
+            TestBench.await(() -> !isAlive(), PATIENCE_MS);
+            int status = ended.get(pid);
+            return status > 255 ? status >> 8 : 128 + status;
+        }
+
+        /** Calls its second address, such as {@code GET /ops/stats}. */
+        public Answer call(String call) throws IOException {
+            TestBench.await(() -> log().contains("second address is ") || !isAlive(), PATIENCE_MS);
+            int at = Integer.parseInt(log().split("second address is [^:]*:")[1].split("\\D")[0]);
+            try (Socket s = new Socket(InetAddress.getLoopbackAddress(), at)) {
+                s.setSoTimeout(5000);
+                s.getOutputStream().write((call + " HTTP/1.1\r\nHost: a\r\n\r\n").getBytes(
+                        StandardCharsets.US_ASCII));
+                InputStream in = s.getInputStream();
+                String answer = new String(in.readAllBytes(), StandardCharsets.US_ASCII);
+                return new Answer(Integer.parseInt(answer.split(" ")[1]),
+                        answer.substring(answer.indexOf("\r\n\r\n") + 4));
+            }
+        }
+
+        /** Waits until it says yes. */
+        public Program ready() {
+            return told("GET /ops/readiness", answer -> answer.status() == 200);
+        }
+
+        /** Waits until a call is answered as it is sought. */
+        public Program told(String call, Predicate<Answer> sought) {
+            TestBench.await(() -> {
+                try {
+                    return sought.test(call(call));
+                } catch (IOException e) {
+                    throw new AssertionError(log(), e);
+                }
+            }, PATIENCE_MS);
+            return this;
+        }
+    }
+}
--- a/src/test/java/junipercourse/TestBench.java
+++ b/src/test/java/junipercourse/TestBench.java
@@ -100,10 +100,15 @@
     }
 
     public static void await(BooleanSupplier condition) {
-        long end = System.nanoTime() + PATIENCE_MS * 1_000_000;
+        await(condition, PATIENCE_MS);
+    }
+
+    /** The same with a patience in ms, such as a process needs on a busy machine. */
+    public static void await(BooleanSupplier condition, long patienceMs) {
+        long end = System.nanoTime() + patienceMs * 1_000_000;
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > end) {
-                throw new AssertionError("not within " + PATIENCE_MS + " ms");
+                throw new AssertionError("not within " + patienceMs + " ms");
             }
             pause(2);
         }
