--- /dev/null
+++ b/src/test/java/junipercourse/cli/TakenOutTest.java
@@ -0,0 +1,150 @@
+package junipercourse.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import junipercourse.Engines;
+import junipercourse.HeldSocket;
+import junipercourse.HeldSocket.Answer;
+import junipercourse.HeldSocket.Program;
+import junipercourse.QueryStream;
+import junipercourse.TestBench;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Engines taken out by hand, with two processes beside each other, after both are killed, and files lost. */
+class TakenOutTest {
+    private static final String DOWN = "POST /ops/engines/down/s-00000001";
+    private static final String UP = "POST /ops/engines/up/s-00000001";
+    private static final int SOME = 30;
+    @TempDir
+    private Path folder;
+    private HeldSocket held;
+    private QueryStream stream;
+    private Engines engines;
+
+    @BeforeEach
+    void start() throws IOException {
+        held = new HeldSocket(folder);
+        stream = new QueryStream(held.address());
+        engines = new Engines(3, stream.watched(call -> call.startsWith("DELETE") ? TestBench.GIVEN_UP
+                : TestBench.OK));
+        held.configure(engines.config());
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        stream.close();
+        held.close();
+        engines.close();
+    }
+
+    private static JsonObject stats(Answer a) {
+        return Json.parse(a.body()).asObject();
+    }
+
+    private static void skips(Program p, int engines) {
+        p.told("GET /ops/stats", a -> stats(a).getInt("skipped_engines", -1) == engines);
+    }
+
+    /** Waits until it has served some more. */
+    private static void serves(Program p) throws IOException {
+        int before = served(p.call("GET /ops/stats"));
+        p.told("GET /ops/stats", a -> served(a) >= before + SOME / 3);
+    }
+
+    private static int served(Answer a) {
+        JsonObject passed = stats(a).get("passed").asObject();
+        return passed.getInt("check", 0) + passed.getInt("load", 0);
+    }
+
+    private long atTheFirst() {
+        return engines.get(1).count("POST");
+    }
+
+    private void isInUse() {
+        long before = atTheFirst();
+        TestBench.await(() -> atTheFirst() > before); // due 5 s after it is put back
+    }
+
+    /** Nothing goes to the first engine while each of the processes serves. */
+    private void isOut(Program... all) throws IOException {
+        for (Program p : all) {
+            skips(p, 1);
+        }
+        stream.more(SOME); // what was written to it before is read by now
+        long before = atTheFirst();
+        for (Program p : all) {
+            serves(p);
+        }
+        stream.more(SOME);
+        assertEquals(before, atTheFirst());
+    }
+
+    /** An order to one process is all processes', now and later, until one order back. */
+    @Test
+    void ordersHoldForBothProcessesAndOutliveThem() throws Exception {
+        Program old = held.start().ready();
+        stream.start();
+        Program next = held.start().ready();
+        isInUse();
+        assertEquals(404, old.call("POST /ops/engines/down/s-0000ffff").status());
+        assertEquals(404, old.call("POST /ops/engines/down/engine").status());
+        assertEquals(404, old.call("POST /ops/engines/up/s-0000ffff").status());
+        assertEquals(200, old.call(DOWN).status());
+        assertEquals(200, old.call(DOWN).status(), "twice is once");
+        isOut(old, next);
+        assertEquals(200, next.call(UP).status());
+        skips(old, 0);
+        skips(next, 0);
+        isInUse();
+        assertEquals(200, next.call(DOWN).status());
+        isOut(old, next);
+        old.signal("KILL");
+        next.signal("KILL");
+        old.exitCode();
+        next.exitCode();
+        Program afresh = held.start().ready();
+        isOut(afresh);
+        assertEquals(200, afresh.call(UP).status());
+        skips(afresh, 0);
+        isInUse();
+    }
+
+    /** What cannot be kept is told as a no, and what was out stays out; a strange file is named only. */
+    @Test
+    void whatCannotBeKeptIsNotPromised() throws Exception {
+        Path orders = Files.createDirectories(held.temporary().resolve("junipercourse-out-n1"));
+        Files.writeString(orders.resolve("s-1.tmp"), "s-00000002");
+        Program p = held.start().ready();
+        stream.start();
+        assertTrue(p.log().contains("s-1.tmp, which names no engine"), p.log());
+        assertEquals(200, p.call(DOWN).status());
+        isOut(p);
+        Files.delete(orders.resolve("s-1.tmp"));
+        Files.delete(orders.resolve("s-00000001"));
+        skips(p, 0); // the file is the order
+        assertEquals(200, p.call(DOWN).status());
+        Path moved = folder.resolve("moved");
+        Files.move(orders, moved);
+        assertEquals(503, p.call("POST /ops/engines/down/s-00000002").status());
+        assertEquals(503, p.call(UP).status());
+        Files.createFile(orders);
+        assertEquals(503, p.call("POST /ops/engines/down/s-00000002").status());
+        assertEquals(503, p.call(UP).status());
+        isOut(p);
+        Files.delete(orders);
+        Files.move(moved, orders);
+        assertEquals(200, p.call(UP).status());
+        skips(p, 0);
+        isInUse();
+        assertEquals(1, p.log().split("NotDirectoryException", -1).length - 1, p.log());
+    }
+}
