Look at an idle connection and close it in one step; one fault does not end the looks

Change: look, last bytes and close are one step; 0.25 s of rest while another process runs; the next look is planned first.

--- a/src/main/java/junipercourse/cli/Staff.java
+++ b/src/main/java/junipercourse/cli/Staff.java
@@ -50,7 +50,7 @@
     private volatile boolean ending;
     private boolean listening;
     private boolean publishing;
-    private Set<EngineId> out = Set.of();
+    private volatile Set<EngineId> out = Set.of();
     private final Map<EngineId, Long> unlistedSince = new HashMap<>();
 
     /**
--- a/src/main/java/junipercourse/net/Link.java
+++ b/src/main/java/junipercourse/net/Link.java
@@ -198,19 +198,35 @@
         }
     }
 
+    /**
+     * Says goodbye and closes in one step, for use right after {@link #poll}: whatever this process does in
+     * between, or is kept from doing by a stop, is time in which a query may come that nobody would read.
+     */
+    public void closeNow(byte[] goodbye) {
+        write(goodbye);
+        if (shut()) {
+            closeQuietly(connection);
+        }
+    }
+
     /**
      * Closes; the handler hears nothing more. The system call comes after this pass over the sockets: so what
      * is accepted later in this pass cannot meet descriptors that are closed but not given back yet.
      */
     public void close() {
-        if (!closed) {
-            closed = true;
-            source.suspendReads();
-            sink.suspendWrites();
+        if (shut()) {
             loop.execute(() -> closeQuietly(connection));
         }
     }
 
+    private boolean shut() {
+        boolean open = !closed;
+        closed = true;
+        source.suspendReads();
+        sink.suspendWrites();
+        return open;
+    }
+
     /**
      * Closes with a reset, which empties the kernel's buffer: an orderly close would still deliver what lies
      * there, across a cut network when that heals. Also good after {@link #close} in the same pass.
--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -26,7 +26,7 @@
     private static final double FRESH_S = 0.25; // a client that means to ask does so well within this
     private static final double IDLE_MOST_S = 8.0; // clients close what is idle for half as long
     private static final double IDLE_CROWDED_S = 0.5; // while clients have opened about all that they may
-    private static final double IDLE_BESIDE_S = 0.1; // while another process shares what clients may open
+    private static final double IDLE_BESIDE_S = 0.25; // while another process shares what clients may open
     private static final double CROSSING_S = 0.06; // a query that crosses a close within 50 ms comes again
 
     private final Loop loop;
@@ -107,6 +107,11 @@
 
     /** One look at all sessions in place of a deadline for each, which would keep those that have left. */
     private void lookAround() {
+        if (whenEmpty != null && sessions.size() == 0) {
+            whenEmpty.run();
+            return;
+        }
+        loop.after(LOOK_S, this::lookAround); // first of all, so that no fault in this look makes it the last
         double now = loop.attended();
         for (Session s : sessions.all()) {
             // Guards clients, which open no more than a third of the descriptors, against running out of
@@ -115,11 +120,6 @@
             s.expire(now, whenEmpty != null ? CROSSING_S : beside ? IDLE_BESIDE_S
                     : crowded ? IDLE_CROWDED_S : IDLE_MOST_S);
         }
-        if (whenEmpty != null && sessions.size() == 0) {
-            whenEmpty.run();
-        } else {
-            loop.after(LOOK_S, this::lookAround);
-        }
     }
 
     /** The address it listens on. */
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -88,7 +88,8 @@
         } else if (now > idleSince() + mostIdle) {
             link.poll();
             if (now > idleSince() + mostIdle) {
-                fatal("57P05", "closed after being idle");
+                link.closeNow(goodbye("57P05", "closed after being idle"));
+                leave();
             }
         }
     }
@@ -168,7 +169,7 @@
 
     /** Says why, closes, and does not wait long for a client that does not read it. */
     void fatal(String code, String why) {
-        link.write(new MessageWriter().error("FATAL", code, why).bytes());
+        link.write(goodbye(code, why));
         link.closeAfterFlush();
         if (!link.isClosed()) {
             front.loop().after(GOODBYE_S, link::close);
@@ -176,6 +177,10 @@
         leave();
     }
 
+    private static byte[] goodbye(String code, String why) {
+        return new MessageWriter().error("FATAL", code, why).bytes();
+    }
+
     // ---- the end ----
 
     @Override
