Close no session in the middle of an answer or a query; end after the last bytes are taken

Read in the code, not traced to that request: an idle close at 0.06 s took no notice of an answer that its client was still taking, nor of a query of which a part had come; and the process ended 0.05 s after its last answer was written. Change: such sessions are not idle, and the end waits up to 0.3 s for what clients have not taken.

--- a/src/main/java/junipercourse/cli/Ending.java
+++ b/src/main/java/junipercourse/cli/Ending.java
@@ -19,6 +19,7 @@
     private static final double REPLACED_MARGIN_S = 0.2;
     private static final double HAND_OVER_S = 0.1;
     private static final double LAST_BYTES_S = 0.05;
+    private static final double LAST_BYTES_MOST_S = 0.3;
 
     private final Loop loop;
     private final Gateway gateway;
@@ -68,6 +69,17 @@
 
     private void untilIdle() {
         front.end();
-        gateway.whenIdle(() -> loop.after(LAST_BYTES_S, done::countDown));
+        gateway.whenIdle(() -> lastBytes(LAST_BYTES_MOST_S));
+    }
+
+    /** Guards answers that their clients are still taking against the end of the process. */
+    private void lastBytes(double most) {
+        loop.after(LAST_BYTES_S, () -> {
+            if (front.unsent() && most > 0) {
+                lastBytes(most - LAST_BYTES_S);
+            } else {
+                done.countDown();
+            }
+        });
     }
 }
--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -88,6 +88,11 @@
         beside = another;
     }
 
+    /** Whether a client has not taken all of what was written to it. */
+    public boolean unsent() {
+        return sessions.all().stream().anyMatch(Session::unsent);
+    }
+
     /** Whether other processes accept from the same socket. */
     public boolean sharesSocket() {
         return sharesSocket;
@@ -122,7 +127,6 @@
         }
     }
 
-    /** The address it listens on. */
     public InetSocketAddress address() {
         return server.getLocalAddress(InetSocketAddress.class);
     }
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -87,13 +87,19 @@
             fatal("08P01", "a message without its end");
         } else if (now > idleSince() + mostIdle) {
             link.poll();
-            if (now > idleSince() + mostIdle) {
+            boolean inTheMiddle = link.unsentBytes() > 0 || in.held() > 0; // of an answer, or of a query
+            if (now > idleSince() + mostIdle && !inTheMiddle) {
                 link.closeNow(goodbye("57P05", "closed after being idle"));
                 leave();
             }
         }
     }
 
+    /** Whether some of what was written still waits for the client to take it. */
+    boolean unsent() {
+        return link.unsentBytes() > 0;
+    }
+
     /** Guards a query that has come and was not read yet against the close of its idle session. */
     void poll() {
         link.poll();
