--- a/src/test/java/junipercourse/pg/SessionTest.java
+++ b/src/test/java/junipercourse/pg/SessionTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import junipercourse.TestBench;
 import junipercourse.TestBench.Client;
 import junipercourse.TestBench.StubEngine;
@@ -157,6 +158,23 @@
         assertTrue(System.nanoTime() - from < 1_000_000_000L);
     }
 
+    /** A query of which a part has come is not idle, however short the time that idle ones get. */
+    @Test
+    void aSessionInTheMiddleOfAQueryIsNotClosedAsIdle() throws Exception {
+        Client slow = bench.client().start();
+        assertEquals(SERVED, slow.ask(query("check", 1, 5000)));
+        byte[] query = Client.message(query("check", 2, 5000));
+        slow.write(Arrays.copyOf(query, query.length / 2));
+        for (int i = 0; i < TestBench.MOST_CLIENTS / 2; i++) {
+            bench.client().start();
+        }
+        Client idle = bench.client().start();
+        assertEquals(SERVED, idle.ask(query("check", 3, 5000)));
+        assertEquals("E(57P05 closed after being idle) closed=true", idle.answer()); // idle for less than slow
+        slow.write(Arrays.copyOfRange(query, query.length / 2, query.length));
+        assertEquals(SERVED, slow.answer());
+    }
+
     /** Many that each send most of a large message are turned away before memory runs out; others go on. */
     @Test
     void unfinishedMessagesOfAllClientsAreBounded() throws Exception {
