Count only whole frames as the event bus's sign of life, and bound the way to a new watch

Cause: RosterClient.received() restarted the silence timer for any bytes, so a bus that dribbled kept a dispatcher on its last list for ever. Pauses between dials (0.1 to 1.0 s) were added to the time that a silence or a hanging dial had taken already. `frames` was one field for all links. A bus that took over 2.5 s to its first frame was left each time before it. BusFrames.add copied all that was pending for each read.

Change: one Watch per connection, with its own frames and silence timer, which only a whole frame restarts; what a watch that was left still brings is not taken. A pause is counted from dial to dial, 0.5 s at most. A connection that brought no frame doubles the patience of the next one, to 5 s. The buffer doubles and stays under twice the longest frame.

Guards that stood and now have tests: numbers that go back or repeat (both orders, in one write and in two), a frame cut at any byte, a move of the bus in the middle of a frame, in the turn in which a frame comes and while it is dialled, known events of a new configuration, a stall.

--- a/src/main/java/junipercourse/roster/BusFrames.java
+++ b/src/main/java/junipercourse/roster/BusFrames.java
@@ -15,7 +15,8 @@
 final class BusFrames {
     private static final int HEAD = 9; // number and kind
     private static final int RECORD = 27;
-    private static final int MAX_FRAME = HEAD + RECORD * 4096;
+    private static final int FIRST_ROOM = 1024;
+    static final int MAX_FRAME = HEAD + RECORD * 4096;
 
     /** What a frame carries. */
     enum Kind { NOTHING, WHOLE, CHANGES }
@@ -32,12 +33,29 @@
         }
     }
 
-    private ByteBuffer pending = ByteBuffer.allocate(1024).limit(0);
+    /** Between position and limit: what has come and was not read, one unfinished frame between reads. */
+    private ByteBuffer pending = ByteBuffer.allocate(FIRST_ROOM).limit(0);
 
-    /** Adds what has come. */
+    /**
+     * Adds what has come. Room doubles, so that a long frame in small pieces is not copied once for each of
+     * them; it stays under twice the longest frame and what is added at once.
+     */
     void add(ByteBuffer bytes) {
-        ByteBuffer wider = ByteBuffer.allocate(pending.remaining() + bytes.remaining());
-        pending = wider.put(pending).put(bytes).flip();
+        int needed = pending.remaining() + bytes.remaining();
+        if (needed > pending.capacity()) {
+            pending = ByteBuffer.allocate(Math.max(needed, 2 * pending.capacity())).put(pending).flip();
+        } else if (pending.limit() + bytes.remaining() > pending.capacity()) {
+            pending.compact().flip();
+        }
+        int end = pending.limit();
+        pending.limit(end + bytes.remaining());
+        pending.put(end, bytes, bytes.position(), bytes.remaining());
+        bytes.position(bytes.limit());
+    }
+
+    /** The bytes of memory held for what has come. */
+    int room() {
+        return pending.capacity();
     }
 
     /** The next whole frame, or null if more bytes are needed. */
--- a/src/main/java/junipercourse/roster/RosterClient.java
+++ b/src/main/java/junipercourse/roster/RosterClient.java
@@ -15,12 +15,32 @@
 import org.tinylog.Logger;
 import org.xnio.StreamConnection;
 
-/** Follows the event bus from the last event it has, over as many connections as that takes. */
-public final class RosterClient implements Link.Handler {
+/**
+ * Follows the event bus from the last event it has, over as many connections as that takes, one at a time.
+ *
+ * <p>An event counts as told 7 s after it is in the event bus, whether it arrived or not (PROTOCOL). So from
+ * the last whole frame of a watch to a new watch takes, where the bus takes one by then:
+ * <ul>
+ * <li>2.5 s ({@link #SILENCE_S}) until the silence is noticed, and nothing more: a pause between two dials is
+ *     counted from the first of them, so that after a silence none is left;
+ * <li>1.0 s ({@link #DIAL_TIMEOUT_S}) more for a connection that does not come up;
+ * <li>2.5 s more for one that comes up and brings no whole frame, be it mute or dribbling, and twice that
+ *     for each further one in a row;
+ * <li>0.5 s ({@link #RETRY_MOST_S}) more at most for each that is refused, closed or garbled;
+ * </ul>
+ * 6.0 s with one of each of the first three. What comes between is the network's. After a longer outage, the
+ * next dial is due at most 1.0 s after the bus has returned, or 5.0 s ({@link #SILENCE_MOST_S}) if it had
+ * taken connections all the time and said nothing on them. A stall of our own adds its length: silence is
+ * counted from when the bytes that came during it were read.
+ */
+public final class RosterClient {
     private static final double DIAL_TIMEOUT_S = 1.0;
     private static final double SILENCE_S = 2.5; // an empty frame comes each second
+    /** Guards a bus that is slow to speak, to many at once, against being left each time before it does. */
+    private static final double SILENCE_MOST_S = 5.0;
+    /** Between two dials, from one to the next: at most ten a second, whatever the bus does. */
     private static final double RETRY_FIRST_S = 0.1;
-    private static final double RETRY_MOST_S = 1.0;
+    private static final double RETRY_MOST_S = 0.5;
 
     /** Takes the news of the list. */
     public interface Listener {
@@ -33,11 +53,11 @@
     private final Listener listener;
     private final Counters counters;
     private Loop.Dial dial;
-    private Link link;
-    private BusFrames frames;
-    private Deadlines.Entry silence;
+    private Watch watch;
     private Deadlines.Entry redial;
+    private double dialledAt = Double.NEGATIVE_INFINITY;
     private double retry = RETRY_FIRST_S;
+    private double patience = SILENCE_S;
     private List<KnownEvents.Event> known = List.of();
     private long last;
 
@@ -94,6 +114,7 @@
         bus = newBus;
         leave();
         retry = RETRY_FIRST_S;
+        patience = SILENCE_S;
         if (bus != null) {
             dial();
         }
@@ -101,78 +122,102 @@
 
     /** The one place where the connection, or the wait for one, is given up. */
     private void leave() {
-        loop.cancel(silence);
         loop.cancel(redial);
         if (dial != null) {
             dial.cancel();
             dial = null;
         }
-        if (link != null) {
-            link.close();
-            link = null;
+        if (watch != null) {
+            watch.close();
+            watch = null;
         }
     }
 
     private void dial() {
+        dialledAt = loop.now();
         dial = loop.dial(bus, DIAL_TIMEOUT_S, this::connected, why -> again());
     }
 
     private void connected(StreamConnection connection) {
         dial = null;
         counters.add(Count.ROSTER_CONNECTED);
-        frames = new BusFrames();
-        link = new Link(loop, connection, this);
-        link.write(ByteBuffer.allocate(Long.BYTES).putLong(last).array());
-        listen();
-    }
-
-    private void listen() {
-        loop.cancel(silence);
-        silence = loop.after(SILENCE_S, () -> {
-            Logger.warn("the event bus is silent; connecting again");
-            again();
-        });
+        watch = new Watch(connection);
     }
 
-    /** Connects anew, after a pause that grows while no connection brings anything. */
+    /** Connects anew, after a pause since the last dial that grows while no connection brings anything. */
     private void again() {
         leave();
-        redial = loop.after(retry, this::dial);
+        redial = loop.at(Math.max(loop.now(), dialledAt + retry), this::dial);
         retry = Math.min(RETRY_MOST_S, retry * 2);
     }
 
-    @Override
-    public void received(ByteBuffer bytes) {
-        listen();
-        frames.add(bytes);
-        try {
-            for (BusFrames.Frame f = frames.next(); f != null; f = frames.next()) {
-                retry = RETRY_FIRST_S;
-                take(f);
+    /** One connection to the event bus; once it is left, nothing that it still brings counts. */
+    private final class Watch implements Link.Handler {
+        private final BusFrames frames = new BusFrames();
+        private final Link link;
+        private Deadlines.Entry silence;
+        private boolean spoke;
+
+        Watch(StreamConnection connection) {
+            link = new Link(loop, connection, this);
+            link.write(ByteBuffer.allocate(Long.BYTES).putLong(last).array());
+            listen();
+        }
+
+        private void listen() {
+            loop.cancel(silence);
+            silence = loop.after(patience, () -> {
+                Logger.warn("the event bus is silent; connecting again");
+                if (!spoke) {
+                    patience = Math.min(SILENCE_MOST_S, patience * 2);
+                }
+                again();
+            });
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            frames.add(bytes);
+            try {
+                for (BusFrames.Frame f = frames.next(); f != null; f = watch == this ? frames.next() : null) {
+                    take(f);
+                }
+            } catch (BusFrames.GarbledException e) {
+                counters.add(Count.ROSTER_GARBLED);
+                Logger.warn("event bus: {}; connecting again", e.getMessage());
+                again();
             }
-        } catch (BusFrames.GarbledException e) {
-            counters.add(Count.ROSTER_GARBLED);
-            Logger.warn("event bus: {}; connecting again", e.getMessage());
-            again();
         }
-    }
 
-    private void take(BusFrames.Frame f) {
-        if (f.kind() != BusFrames.Kind.NOTHING && f.number() > last) {
-            last = f.number();
-            listener.roster(f.kind() == BusFrames.Kind.WHOLE ? RosterKind.FULL : RosterKind.DELTA,
-                    f.members());
+        /** A whole frame is the one sign of life: bytes that complete none may come for ever. */
+        private void take(BusFrames.Frame f) {
+            spoke = true;
+            retry = RETRY_FIRST_S;
+            patience = SILENCE_S;
+            listen();
+            if (f.kind() != BusFrames.Kind.NOTHING && f.number() > last) {
+                last = f.number();
+                listener.roster(f.kind() == BusFrames.Kind.WHOLE ? RosterKind.FULL : RosterKind.DELTA,
+                        f.members());
+            }
         }
-    }
 
-    @Override
-    public void crashed() {
-        counters.add(Count.INTERNAL_ERRORS);
-        disconnected();
-    }
+        void close() {
+            loop.cancel(silence);
+            link.close();
+        }
 
-    @Override
-    public void disconnected() {
-        again();
+        @Override
+        public void crashed() {
+            counters.add(Count.INTERNAL_ERRORS);
+            disconnected();
+        }
+
+        @Override
+        public void disconnected() {
+            if (watch == this) {
+                again();
+            }
+        }
     }
 }
--- a/src/test/java/junipercourse/roster/BusFramesTest.java
+++ b/src/test/java/junipercourse/roster/BusFramesTest.java
@@ -3,12 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.eclipsesource.json.Json;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Set;
 import junipercourse.config.ConfigException;
 import junipercourse.config.Config;
 import junipercourse.core.Backend.Member;
@@ -55,6 +58,25 @@
         assertThrows(BusFrames.GarbledException.class, frames::next);
     }
 
+    /** A frame's length is known at its start: one that is too long holds no memory. */
+    @Test
+    void aLongFrameInSmallPiecesTakesBoundedMemory() throws BusFrames.GarbledException {
+        byte[] frame = ByteBuffer.allocate(Integer.BYTES + BusFrames.MAX_FRAME).putInt(BusFrames.MAX_FRAME)
+                .putLong(7).put((byte) 1).array();
+        BusFrames frames = new BusFrames();
+        Set<Integer> rooms = new HashSet<>();
+        for (int round = 0; round < 3; round++) {
+            for (int at = 0; at < frame.length; at++) {
+                assertNull(frames.next());
+                frames.add(ByteBuffer.wrap(frame, at, 1));
+                rooms.add(frames.room());
+            }
+            assertEquals(4096, frames.next().members().size());
+        }
+        assertTrue(rooms.size() <= 8, "the room changed for each piece: " + rooms.size());
+        assertTrue(frames.room() <= 2 * (BusFrames.MAX_FRAME + Integer.BYTES), "room " + frames.room());
+    }
+
     private static List<KnownEvents.Event> known(String phase, String id) {
         return new KnownEvents(List.of("east"), List.of("std")).read(Json.parse("""
                 {"offset":41,"batch":[{"offset":41,"topology":{"revision":7,"complete":true,"members":[
--- /dev/null
+++ b/src/test/java/junipercourse/roster/RosterOrdersTest.java
@@ -0,0 +1,243 @@
+package junipercourse.roster;
+
+import static junipercourse.roster.ScriptedBus.CHANGE;
+import static junipercourse.roster.ScriptedBus.NOTHING;
+import static junipercourse.roster.ScriptedBus.WHOLE;
+import static junipercourse.roster.ScriptedBus.bytes;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.eclipsesource.json.Json;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import junipercourse.TestBench;
+import junipercourse.core.Backend.Member;
+import junipercourse.net.Loop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What is told of the engine list, in whichever order and pieces frames, moves and ends of watches come. */
+class RosterOrdersTest {
+    private static final int FRAME = 40; // bytes of one record's frame, with its length
+    private final List<String> told = new CopyOnWriteArrayList<>();
+    private Loop loop;
+    private ScriptedBus bus;
+    private ScriptedBus other;
+
+    @BeforeEach
+    void open() throws IOException {
+        loop = new Loop(() -> { }, e -> { });
+        loop.execute(loop::attend);
+        bus = new ScriptedBus();
+        other = new ScriptedBus();
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        loop.stop();
+        bus.close();
+        other.close();
+    }
+
+    private RosterClient start() {
+        RosterClient client = bus.client(loop, ScriptedBus.noting(told));
+        loop.execute(client::start);
+        return client;
+    }
+
+    private static String frame(String word) {
+        String number = word.substring(1);
+        return (word.startsWith("w") ? WHOLE : word.startsWith("c") ? CHANGE : NOTHING)
+                .formatted(Integer.parseInt(number));
+    }
+
+    /**
+     * Numbers are a dispatcher's own, from 1 at its start (PROTOCOL): one that goes back or comes again is
+     * old news, whatever bus it comes from, and of two lists the newest wins. In one write and in two.
+     */
+    @ParameterizedTest
+    @CsvSource({"w2,w3,FULL 2;FULL 3,3", "w3,w2,FULL 3,3", "w2,w2,FULL 2,2", "c2,c2,DELTA 2,2",
+        "c2,c3,DELTA 2;DELTA 3,3", "c3,c2,DELTA 3,3", "w3,c2,FULL 3,3", "c3,w2,DELTA 3,3",
+        "c2,w3,DELTA 2;FULL 3,3", "w2,c3,FULL 2;DELTA 3,3", "n9,c2,DELTA 2,2", "c2,n1,DELTA 2,2"})
+    void newsAreToldOnceAndTheNewestWins(String a, String b, String expected, long last) throws Exception {
+        for (boolean apart : new boolean[] {false, true}) {
+            told.clear();
+            bus.asked.clear();
+            RosterClient client = start();
+            Socket s = bus.accept();
+            if (apart) {
+                bytes(s, frame(a));
+                TestBench.await(() -> a.startsWith("n") || !told.isEmpty());
+                bytes(s, frame(b));
+            } else {
+                bytes(s, frame(a) + frame(b));
+            }
+            s.shutdownOutput();
+            bus.accept();
+            assertEquals(List.of(expected.split(";")), told);
+            assertEquals(List.of(0L, last), bus.asked);
+            loop.execute(() -> client.follow(null, List.of()));
+        }
+    }
+
+    /** Cut anywhere, by a close or a reset, a frame is not told, and comes whole on the next watch. */
+    @Test
+    void aFrameCutAtAnyByteIsToldOnce() throws Exception {
+        start();
+        for (int cut = 0; cut < FRAME; cut++) {
+            Socket s = bus.accept();
+            bytes(s, frame("w1") + frame("c2").substring(0, 2 * cut));
+            TestBench.await(() -> !told.isEmpty());
+            if (cut % 2 == 1) {
+                s.setSoLinger(true, 0);
+            }
+            s.close();
+        }
+        Socket s = bus.accept();
+        bytes(s, frame("w1") + frame("c2"));
+        TestBench.await(() -> told.size() == 2);
+        assertEquals(List.of("FULL 1", "DELTA 2"), told);
+        assertEquals(1, bus.asked.stream().skip(1).distinct().count(), "asked " + bus.asked);
+    }
+
+    /** What is told under the same id is told as it stands: another address, a later start, a drain. */
+    @Test
+    void anEngineThatChangesUnderItsIdIsToldAsItIs() throws Exception {
+        List<Member> members = new CopyOnWriteArrayList<>();
+        loop.execute(bus.client(loop, (kind, all) -> members.addAll(all))::start);
+        String id = "00000002";
+        Socket s = bus.accept();
+        bytes(s, frame("w2") + frame("c3").replace("00000003" + "0a01", id + "0a01")
+                .replace("0a0100091b59", "0a01000a1b59")
+                + frame("c4").replace("00000004" + "0a01", id + "0a01").replace("1388", "2710"));
+        TestBench.await(() -> members.size() == 3);
+        assertEquals(1, members.stream().map(m -> m.engine().id()).distinct().count());
+        assertEquals(List.of("10.1.0.9", "10.1.0.10", "10.1.0.9"),
+                members.stream().map(m -> m.address().getHostString()).toList());
+        assertEquals(List.of(5.0, 5.0, 10.0), members.stream().map(m -> m.engine().startedAt()).toList());
+    }
+
+    /** SIGHUP moves the bus between two frames, with half of one read: each event is told once. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 4, 13, 39})
+    void aBusThatMovesInTheMiddleOfAFrame(int cut) throws Exception {
+        RosterClient client = start();
+        Socket s = bus.accept();
+        bytes(s, frame("w1") + frame("c2").substring(0, 2 * cut));
+        TestBench.await(() -> told.size() == 1);
+        loop.execute(() -> client.follow(other.address(), List.of()));
+        Socket next = other.accept();
+        try {
+            bytes(s, frame("c2").substring(2 * cut) + frame("c3"));
+        } catch (IOException e) {
+            assertTrue(s.isConnected(), "it has been left by now");
+        }
+        bytes(next, frame("c2"));
+        TestBench.await(() -> told.size() == 2);
+        ScriptedBus.awaitEnd(s);
+        assertEquals(List.of(1L), other.asked);
+        bytes(next, frame("c3"));
+        TestBench.await(() -> told.size() == 3);
+        assertEquals(List.of("FULL 1", "DELTA 2", "DELTA 3"), told);
+    }
+
+    /** The move and a frame of the old bus meet in one turn of the loop, either of them queued first. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aBusThatMovesInTheTurnInWhichAFrameComes(boolean moveFirst) throws Exception {
+        RosterClient client = start();
+        Socket s = bus.accept();
+        bytes(s, frame("w1"));
+        TestBench.await(() -> told.size() == 1);
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        loop.execute(() -> {
+            held.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        Runnable move = () -> client.follow(other.address(), List.of());
+        if (moveFirst) {
+            loop.execute(move);
+        }
+        bytes(s, frame("c2"));
+        if (!moveFirst) {
+            loop.execute(move);
+        }
+        go.countDown();
+        Socket next = other.accept();
+        long from = other.asked.get(0);
+        bytes(next, (from < 2 ? frame("c2") : "") + frame("c3"));
+        TestBench.await(() -> told.contains("DELTA 3"));
+        assertEquals(List.of("FULL 1", "DELTA 2", "DELTA 3"), told);
+    }
+
+    /** News that lead to a move at once: nothing more of the old watch counts, garbled or not. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "ffffffff"})
+    void aBusThatIsLeftWhileItsNewsAreTaken(String rest) throws Exception {
+        RosterClient[] client = new RosterClient[1];
+        client[0] = bus.client(loop, (kind, members) -> {
+            ScriptedBus.noting(told).roster(kind, members);
+            client[0].follow(other.address(), List.of());
+        });
+        loop.execute(client[0]::start);
+        Socket s = bus.accept();
+        bytes(s, frame("w1") + frame("c2") + rest);
+        Socket next = other.accept();
+        assertEquals(List.of(1L), other.asked);
+        bytes(next, frame("c2"));
+        TestBench.await(() -> told.size() == 2);
+        ScriptedBus.awaitEnd(s);
+        bytes(next, frame("c3"));
+        TestBench.await(() -> told.size() == 3);
+        assertEquals(List.of("FULL 1", "DELTA 2", "DELTA 3"), told);
+        assertEquals(List.of(1L), other.asked, "the watch on the new bus was left, too");
+    }
+
+    /** A connection that comes up after its bus was left is closed unasked; the new bus alone is heard. */
+    @Test
+    void aBusThatMovesWhileItIsDialled() throws Exception {
+        RosterClient client = bus.client(loop, ScriptedBus.noting(told));
+        loop.execute(() -> {
+            client.start();
+            TestBench.pause(50); // it is up in the system by now, and not handed over
+            client.follow(other.address(), List.of());
+        });
+        bytes(other.accept(), frame("w1"));
+        TestBench.await(() -> told.size() == 1);
+        bus.awaitUnasked();
+        assertEquals(List.of("FULL 1"), told);
+    }
+
+    /** Events of a new configuration that are old here are not told, be they whole lists; new ones are. */
+    @Test
+    void knownEventsOfANewConfigurationAreToldIfTheyAreNew() throws Exception {
+        RosterClient client = start();
+        Socket s = bus.accept();
+        bytes(s, frame("w5"));
+        TestBench.await(() -> told.size() == 1);
+        String event = """
+                {"offset":%d,"topology":{"complete":%s,"members":[{"id":"s-%08x","host_port":"10.1.0.9:7001",
+                "locality":"east","flavor":"std","cell":0,"phase":"Ready","size":4,"up_since_ms":0}]}}""";
+        String batch = event.formatted(4, true, 4) + "," + event.formatted(5, true, 5) + ","
+                + event.formatted(6, false, 6) + "," + event.formatted(7, true, 7);
+        List<KnownEvents.Event> known = client.check(
+                Json.parse("{\"offset\":7,\"batch\":[" + batch + "]}").asObject());
+        loop.execute(() -> client.follow(other.address(), known));
+        other.accept();
+        assertEquals(List.of("FULL 5", "DELTA 6", "FULL 7"), told);
+        assertEquals(List.of(7L), other.asked);
+    }
+}
--- /dev/null
+++ b/src/test/java/junipercourse/roster/SilentBusTest.java
@@ -0,0 +1,241 @@
+package junipercourse.roster;
+
+import static junipercourse.roster.ScriptedBus.CHANGE;
+import static junipercourse.roster.ScriptedBus.NOTHING;
+import static junipercourse.roster.ScriptedBus.WHOLE;
+import static junipercourse.roster.ScriptedBus.bytes;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import junipercourse.TestBench;
+import junipercourse.net.Loop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** From the last whole frame of a watch to a new one that has told what came meanwhile, in the time stated. */
+class SilentBusTest {
+    private static final double SILENCE_S = 2.5;
+    private static final double DIAL_S = 1.0;
+    private static final double PAUSE_S = 0.5;
+    /** For the sockets and the threads of the script; stalls of this process come on top. */
+    private static final double SLACK_S = 0.6;
+    private static final int PATIENCE_MS = 20_000;
+    private static final int FIRST = 40; // bytes of a change, with its length
+    private static final int LONG = 0x7000; // a length that no frame here fills
+
+    /** What one connection does after it was asked. */
+    private interface Fault {
+        void on(ScriptedBus bus, Socket s) throws IOException;
+    }
+
+    private static final class Play {
+        final ScriptedBus bus;
+        final List<String> told = new CopyOnWriteArrayList<>();
+        final List<Throwable> faults = new CopyOnWriteArrayList<>();
+        volatile double newsAt;
+
+        Play() throws IOException {
+            bus = new ScriptedBus();
+        }
+    }
+
+    private final Map<String, Fault> faults = new LinkedHashMap<>();
+    private final Map<String, Double> cost = new LinkedHashMap<>();
+    private Loop loop;
+
+    @BeforeEach
+    void open() throws IOException {
+        loop = new Loop(() -> { }, e -> { });
+        loop.execute(loop::attend);
+        add("mute", SILENCE_S, (bus, s) -> ScriptedBus.awaitEnd(s));
+        add("dribbles", SILENCE_S, (bus, s) -> dribble(s, "%08x%016x02".formatted(LONG, 2)));
+        add("half a length and mute", SILENCE_S, (bus, s) -> {
+            bytes(s, "0000");
+            ScriptedBus.awaitEnd(s);
+        });
+        add("a cut frame and mute", SILENCE_S, (bus, s) -> {
+            bytes(s, CHANGE.formatted(2).substring(0, 2 * FIRST - 2));
+            ScriptedBus.awaitEnd(s);
+        });
+        add("never comes up", DIAL_S, (bus, s) -> {
+            bus.deaf();
+            bus.frames(s, NOTHING.formatted(1));
+            s.close();
+            TestBench.pause(700); // in the middle of the first dial
+            bus.hearing();
+        });
+        add("garbled", PAUSE_S, (bus, s) -> bytes(s, "ffffffff"));
+        add("closes", PAUSE_S, (bus, s) -> s.close());
+    }
+
+    @AfterEach
+    void close() {
+        loop.stop();
+    }
+
+    private double slack() {
+        return SLACK_S + loop.stallLog().total();
+    }
+
+    private void add(String name, double seconds, Fault fault) {
+        faults.put(name, fault);
+        cost.put(name, seconds);
+    }
+
+    private static void dribble(Socket s, String start) throws IOException {
+        bytes(s, start);
+        try {
+            for (int i = 0; i < PATIENCE_MS / 100; i++) {
+                TestBench.pause(100);
+                bytes(s, "00");
+            }
+        } catch (IOException e) {
+            return; // it has been left
+        }
+        throw new AssertionError("a bus that only dribbles is never left");
+    }
+
+    private void play(Play p, String first, String second) throws IOException {
+        p.bus.play(() -> {
+            Socket s = p.bus.accept();
+            p.bus.frames(s, WHOLE.formatted(1) + NOTHING.formatted(1));
+            faults.get(first).on(p.bus, s);
+            if (second != null) {
+                faults.get(second).on(p.bus, p.bus.accept());
+            }
+            Socket last = p.bus.accept();
+            bytes(last, CHANGE.formatted(2));
+        }, p.faults);
+        RosterClient client = p.bus.client(loop, (kind, members) -> {
+            ScriptedBus.noting(p.told).roster(kind, members);
+            p.newsAt = ScriptedBus.now();
+        });
+        loop.execute(client::start);
+    }
+
+    /** Each fault alone and after each other; all plays at once, each with a bus of its own. */
+    @Test
+    void whateverEndsAWatchTheNextOneTellsInTime() throws Exception {
+        Map<String, Play> plays = new LinkedHashMap<>();
+        Map<String, Double> bounds = new LinkedHashMap<>();
+        try {
+            for (String first : faults.keySet()) {
+                plays.put(first, new Play());
+                bounds.put(first, cost.get(first));
+                play(plays.get(first), first, null);
+                for (String second : faults.keySet()) {
+                    String both = first + ", then " + second;
+                    plays.put(both, new Play());
+                    bounds.put(both, cost.get(first) + cost.get(second));
+                    play(plays.get(both), first, second);
+                }
+            }
+            List<String> wrong = new ArrayList<>();
+            plays.forEach((name, p) -> {
+                try {
+                    TestBench.await(() -> p.told.size() == 2 || !p.faults.isEmpty(), PATIENCE_MS);
+                } catch (AssertionError e) {
+                    p.faults.add(e);
+                }
+                double took = p.newsAt - p.bus.lastFrameAt;
+                if (!p.faults.isEmpty() || took > bounds.get(name) + slack()
+                        || !p.told.equals(List.of("FULL 1", "DELTA 2"))) {
+                    wrong.add(name + ": " + took + " s of " + bounds.get(name) + ", " + p.told + p.faults);
+                }
+            });
+            assertEquals(List.of(), wrong);
+        } finally {
+            for (Play p : plays.values()) {
+                p.bus.close();
+            }
+        }
+    }
+
+    /** The longest that is stated, with one of each: silence, a dial that hangs, a connection that is mute. */
+    @Test
+    void silenceThenADialThatHangsThenAMuteWatch() throws Exception {
+        Play p = new Play();
+        try (ScriptedBus bus = p.bus) {
+            bus.play(() -> {
+                Socket s = bus.accept();
+                bus.frames(s, WHOLE.formatted(1));
+                bus.deaf();
+                ScriptedBus.awaitEnd(s);
+                TestBench.pause(700); // in the middle of the first dial
+                bus.hearing();
+                ScriptedBus.awaitEnd(bus.accept());
+                bytes(bus.accept(), CHANGE.formatted(2));
+            }, p.faults);
+            RosterClient client = bus.client(loop, (kind, members) -> {
+                ScriptedBus.noting(p.told).roster(kind, members);
+                p.newsAt = ScriptedBus.now();
+            });
+            loop.execute(client::start);
+            TestBench.await(() -> p.told.size() == 2 || !p.faults.isEmpty(), PATIENCE_MS);
+            assertEquals(List.of(), p.faults);
+            double took = p.newsAt - bus.lastFrameAt;
+            assertTrue(took < SILENCE_S + DIAL_S + SILENCE_S + slack(), took + " s");
+        }
+    }
+
+    /** A bus that is slow to speak, or in the middle of a long list, is not left each time before it does. */
+    @Test
+    void aBusThatIsSlowToSpeakIsHeard() throws Exception {
+        Play p = new Play();
+        try (ScriptedBus bus = p.bus) {
+            bus.play(() -> {
+                while (p.told.isEmpty()) {
+                    Socket s = bus.accept();
+                    TestBench.pause(3000);
+                    bytes(s, WHOLE.formatted(1));
+                }
+            }, p.faults);
+            loop.execute(bus.client(loop, ScriptedBus.noting(p.told))::start);
+            TestBench.await(() -> !p.told.isEmpty(), PATIENCE_MS);
+        }
+    }
+
+    /** A stall of our own is not held against the bus, and hides its silence no longer than it lasts. */
+    @Test
+    void aStallIsNoSilenceAndHidesNone() throws Exception {
+        Play p = new Play();
+        try (ScriptedBus bus = p.bus) {
+            bus.play(() -> {
+                Socket s = bus.accept();
+                bus.frames(s, WHOLE.formatted(1));
+                while (p.told.isEmpty()) {
+                    TestBench.pause(2);
+                }
+                loop.execute(() -> TestBench.pause(3000));
+                for (int i = 0; i < 3; i++) {
+                    TestBench.pause(900);
+                    bus.frames(s, NOTHING.formatted(1));
+                }
+                TestBench.pause(800);
+                bus.frames(s, CHANGE.formatted(2)); // on the watch that was open all the time
+                loop.execute(() -> TestBench.pause(1500)); // and is silent from now on
+                bytes(bus.accept(), CHANGE.formatted(3));
+            }, p.faults);
+            RosterClient client = bus.client(loop, (kind, members) -> {
+                ScriptedBus.noting(p.told).roster(kind, members);
+                p.newsAt = ScriptedBus.now();
+            });
+            loop.execute(client::start);
+            TestBench.await(() -> p.told.size() == 3 || !p.faults.isEmpty(), PATIENCE_MS);
+            assertEquals(List.of(), p.faults);
+            assertEquals(List.of("FULL 1", "DELTA 2", "DELTA 3"), p.told);
+            assertEquals(List.of(0L, 2L), bus.asked);
+            assertTrue(loop.stallLog().total() >= 4, "no stalls were seen");
+            double took = p.newsAt - bus.lastFrameAt;
+            assertTrue(took < SILENCE_S + slack() - 3, took + " s");
+        }
+    }
+}
