Bound all bytes of one answer of an engine, with its heads, chunks and trailers

HttpParser bounded a line, the number of different header names and the body, but nothing bounded trailers (TRAILERS took lines for good), a header given again and again (the map does not grow), or the framing of small chunks: 64 KB of body in chunks of a byte with extensions is 256 MB. Read now counts what one answer took, interim heads and framing included, and tells it as garbled past 128 KB. A sign before a length (+6, -0) was taken for a length; only digits are now.

--- a/src/main/java/junipercourse/engine/HttpParser.java
+++ b/src/main/java/junipercourse/engine/HttpParser.java
@@ -13,6 +13,8 @@
     private static final int MAX_HEADERS = 32;
     private static final int MAX_INTERIM = 16; // 1xx heads before one answer: they may not go on for good
     private static final int MAX_BODY = 64 * 1024;
+    /** Of one answer with its framing: no head, chunk or trailer may go on for good in small pieces. */
+    static final int MAX_ANSWER = 2 * MAX_BODY;
 
     /** Bytes that are no HTTP response. */
     static final class GarbledException extends Exception {
@@ -33,6 +35,7 @@
     private int status;
     private int left;
     private int interim;
+    private int taken; // bytes of the answer that is being read
 
     /** True between responses: nothing of a next one has come. */
     boolean atStart() {
@@ -41,6 +44,18 @@
 
     /** Takes bytes until a response is whole, and returns it; null if more are needed. */
     HttpResponse read(ByteBuffer in) throws GarbledException {
+        int from = in.position();
+        HttpResponse response = parse(in);
+        taken += in.position() - from;
+        if (response != null) {
+            taken = 0;
+        } else if (taken > MAX_ANSWER) {
+            throw new GarbledException("an answer of over " + MAX_ANSWER + " bytes");
+        }
+        return response;
+    }
+
+    private HttpResponse parse(ByteBuffer in) throws GarbledException {
         while (true) {
             if (state == State.BODY || state == State.CHUNK) {
                 int n = Math.min(left, in.remaining());
@@ -171,7 +186,10 @@
         } catch (NumberFormatException e) {
             throw new GarbledException("not a length: " + text);
         }
-        if (n < 0 || n > MAX_BODY - body.size()) {
+        if (n < 0 || Character.digit(text.charAt(0), radix) < 0) { // a sign is no digit
+            throw new GarbledException("not a length: " + text);
+        }
+        if (n > MAX_BODY - body.size()) {
             throw new GarbledException("a length out of range: " + text);
         }
         return n;
--- a/src/test/java/junipercourse/engine/HttpParserTest.java
+++ b/src/test/java/junipercourse/engine/HttpParserTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import junipercourse.decision.DispatchApi.LoadField;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -48,6 +49,9 @@
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {"SSH-2.0-x~", "HTTP/2 200 OK~", "HTTP/1.1 abc~",
         "HTTP/1.1 200 OK~no colon~", "HTTP/1.1 200 OK~~", "HTTP/1.1 200 OK~Content-Length: -1~~",
+        "HTTP/1.1 200 OK~Content-Length: +1~~x", "HTTP/1.1 200 OK~Content-Length: -0~~",
+        "HTTP/1.1 200 OK~Content-Length: ~~", "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~+1~x~",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~~", "~", "HTTP/1.1 200 OK~: 1~",
         "HTTP/1.1 200 OK~Content-Length: 99999999~~", "HTTP/1.1 200 OK~Content-Length: x~~",
         "HTTP/1.1 200 OK~Content-Length: 1~Content-Length: 2~", "HTTP/1.1 200 OK~Transfer-Encoding: gzip~~",
         "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~zz~",
@@ -57,6 +61,42 @@
         assertThrows(HttpParser.GarbledException.class, () -> new HttpParser().read(in));
     }
 
+    /** What never ends, by how it begins and goes on: {@code #} stands for a new number each time. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"HTTP/1.1 200 | x", "HTTP/1.1 200 OK~X: | x",
+        "HTTP/1.1 200 OK~ | X-#: 1~", "HTTP/1.1 200 OK~ | X: 1~", "HTTP/1.1 200 OK~ | X: #~",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~ | 1~x~",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~ | 1;a=0123456789012345678901234567890123456789~x~",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~ | 0",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~0~ | T: 1~",
+        "HTTP/1.1 100 Continue~~ | HTTP/1.1 100 Continue~~",
+        "HTTP/1.1 100 Continue~ | X: 1~", "HTTP/1.1 204 None~ | X: 1~"})
+    void anAnswerThatNeverEndsIsGarbledWithinItsBound(String begins, String goesOn) throws Exception {
+        HttpParser parser = new HttpParser();
+        parser.read(ByteBuffer.wrap(unescaped(begins).getBytes(StandardCharsets.ISO_8859_1)));
+        int[] fed = {begins.length()};
+        assertThrows(HttpParser.GarbledException.class, () -> {
+            for (int i = 0; fed[0] < 2 * HttpParser.MAX_ANSWER; i++) {
+                byte[] more = unescaped(goesOn.replace("#", "" + i)).getBytes(StandardCharsets.ISO_8859_1);
+                fed[0] += more.length;
+                parser.read(ByteBuffer.wrap(more));
+            }
+        });
+        assertTrue(fed[0] <= HttpParser.MAX_ANSWER + 100, "only after " + fed[0]);
+    }
+
+    /** A whole answer counts for itself: what came before on the connection takes nothing from its bound. */
+    @Test
+    void theBoundIsThatOfEachAnswer() throws Exception {
+        HttpParser parser = new HttpParser();
+        String body = "x".repeat(50_000);
+        ByteBuffer answer = ByteBuffer.wrap(("HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n" + body)
+                .getBytes(StandardCharsets.ISO_8859_1));
+        for (int i = 0; i < 5; i++) {
+            assertEquals(50_000, parser.read(answer.rewind()).body().length);
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', nullValues = "null", value = {
         "queue:7;util:0.61 | 7 0.61", "util:0.61; queue:7;other:1 | 7 0.61", "queue:7 | ''", "null | ''",
