Derive the time of the last answers from the settings' longest deadline, not a fixed 3.2 s

Change: answered 0.5 s before SIGKILL, by one pure function for both kinds of end. Clients are let in for 0.7 s, not 0.75: 0.4 s for connections, 0.2 s for their requests and 0.1 s for the signal; what comes after 0.7 s would count if SIGKILL found it unanswered, so it is refused at once.

ShutdownTest, a whole process with 1.5 s as longest deadline and an engine that never ends: a query of the last moment got "no engine can take this query in time" when its own time was over, after SIGKILL's; now "the dispatcher is shutting down", in time.

--- a/src/main/java/junipercourse/cli/Ending.java
+++ b/src/main/java/junipercourse/cli/Ending.java
@@ -10,13 +10,19 @@
 
 /** The end in good order: goes on for as long as clients may still come, then until all are answered. */
 final class Ending {
-    /** New connections keep coming for 0.4 s after a planned restart begins, and their queries after that. */
-    private static final double STILL_COMING_S = 0.75;
-    /** SIGKILL comes 0.7 s and the longest deadline after SIGTERM, of which it counts 3 s: we go before. */
-    private static final double ALL_ANSWERED_S = 3.2;
-    /** Of a process that is replaced, it counts 5 s (DAYS); we go half a second before it. */
+    /**
+     * New connections keep coming for 0.2 to 0.4 s after SIGTERM and their requests for 0.2 s more (PROTOCOL,
+     * Figures); the rest is for the signal's way to us. Not longer: what comes more than 0.7 s after SIGTERM
+     * and is found unanswered by SIGKILL is lost, so from then on all is refused at once.
+     */
+    private static final double STILL_COMING_S = 0.4 + 0.2 + 0.1;
+    /** SIGKILL comes so long after the longest deadline, counted from SIGTERM. */
+    private static final double KILL_S = 0.7;
+    /** Of the longest deadline it counts so much; of a process that is replaced, so much (DAYS). */
+    private static final double COUNTED_MOST_S = 3;
     private static final double REPLACED_MOST_S = 5;
-    private static final double REPLACED_MARGIN_S = 0.2;
+    /** For the last bytes on their way to clients and for the end of the JVM. */
+    private static final double MARGIN_S = 0.5;
     private static final double HAND_OVER_S = 0.1;
     private static final double LAST_BYTES_S = 0.05;
     private static final double LAST_BYTES_MOST_S = 0.3;
@@ -35,8 +41,18 @@
         this.front = front;
         this.kept = kept;
         double longest = settings.classes().stream().mapToDouble(QueryClass::deadline).max().orElse(0);
-        answeredAfter = front.sharesSocket() ? Math.min(REPLACED_MOST_S, longest) + REPLACED_MARGIN_S
-                : ALL_ANSWERED_S;
+        answeredAfter = answeredAfter(longest, front.sharesSocket() ? REPLACED_MOST_S : COUNTED_MOST_S);
+    }
+
+    /**
+     * Seconds after SIGTERM at which all that is open is answered: {@value #MARGIN_S} before SIGKILL, yet not
+     * before the last that may come has come, as with deadlines under half a second.
+     *
+     * @param longest the longest deadline of the settings
+     * @param counted at most so much of it is waited for
+     */
+    static double answeredAfter(double longest, double counted) {
+        return Math.max(STILL_COMING_S, Math.min(counted, longest) + KILL_S - MARGIN_S);
     }
 
     /** Returns once nothing is owed to anybody any more, or no time is left. */
--- a/src/test/java/junipercourse/cli/ProcessTest.java
+++ b/src/test/java/junipercourse/cli/ProcessTest.java
@@ -98,7 +98,7 @@
             TestBench.await(() -> process.log().contains(taken + " is in use; trying again for 25"));
         }
         InetSocketAddress front = process.address();
-        process.signal("TERM"); // it goes on taking clients for 0.75 s, so that the next comes too early
+        process.signal("TERM"); // it goes on taking clients for 0.7 s, so that the next comes too early
         TestBench.await(() -> process.log().contains("asked to end"));
         Path other = Files.createDirectory(folder.resolve("next"));
         try (DispatcherProcess next = new DispatcherProcess(other, 1024, config, "")) {
--- /dev/null
+++ b/src/test/java/junipercourse/cli/ShutdownTest.java
@@ -0,0 +1,62 @@
+package junipercourse.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import junipercourse.DispatcherProcess;
+import junipercourse.Engines;
+import junipercourse.TestBench;
+import junipercourse.TestBench.Client;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What clients see of a whole process that ends, with engines that never do and 1.5 s as longest deadline. */
+class ShutdownTest {
+    private static final double KILL_S = 1.5 + 0.7;
+    @TempDir
+    private Path folder;
+    private Engines engines;
+    private DispatcherProcess process;
+    private InetSocketAddress front;
+
+    @BeforeEach
+    void start() throws IOException {
+        engines = new Engines(1, call -> {
+            TestBench.pause(100);
+            return call.startsWith("DELETE") ? TestBench.GIVEN_UP : TestBench.RUNNING;
+        });
+        java.nio.file.Files.writeString(folder.resolve("config.json"), engines.config()
+                .replace("\"goal_time_s\":1.5,\"deadline_s\":7.5", "\"goal_time_s\":0.5,\"deadline_s\":1.5")
+                .replace("\"goal_time_s\":3.0,\"deadline_s\":20.0", "\"goal_time_s\":1.0,\"deadline_s\":1.5"));
+        process = new DispatcherProcess(folder, 1024);
+        front = process.address();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        process.close();
+        engines.close();
+    }
+
+    /** SIGKILL comes 0.7 s and the longest deadline after SIGTERM: that much earlier all are answered. */
+    @Test
+    void withShortDeadlinesAllIsAnsweredBeforeTheKill() throws Exception {
+        try (Client late = new Client(front)) {
+            late.start();
+            process.signal("TERM");
+            long from = System.nanoTime();
+            TestBench.await(() -> process.log().contains("asked to end"));
+            TestBench.pause(450); // a query in its last moments of being taken
+            late.write(Client.message(TestBench.query("check", 1, 1500)));
+            assertEquals("E(53300 the dispatcher is shutting down)", late.answer());
+            double took = (System.nanoTime() - from) / 1e9;
+            assertTrue(took < KILL_S, took + " s");
+            assertTrue(process.endsWithin(1), process.log());
+        }
+    }
+}
