Hand over whoever waits in the system's queue before the listening socket is closed

Cause: PgFront.end closed the socket from the loop's thread while XNIO's accepting thread may have been behind, as after a turn of ours that took long: whatever was left in the kernel's queue was reset without an answer.

Change: the accepting thread, which alone may accept, takes all that waits (as far as the bound on open connections allows) and closes in the same turn; the loop gets them before it is told. Ending asks for idleness only then.

--- a/src/main/java/junipercourse/cli/Ending.java
+++ b/src/main/java/junipercourse/cli/Ending.java
@@ -84,8 +84,7 @@
     }
 
     private void untilIdle() {
-        front.end();
-        gateway.whenIdle(() -> lastBytes(LAST_BYTES_MOST_S));
+        front.end(() -> gateway.whenIdle(() -> lastBytes(LAST_BYTES_MOST_S)));
     }
 
     /** Guards answers that their clients are still taking against the end of the process. */
--- a/src/main/java/junipercourse/net/Acceptors.java
+++ b/src/main/java/junipercourse/net/Acceptors.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,7 +17,7 @@
 
 /**
  * The loop's listening sockets: hands over what they accept, and knows whether more may wait unaccepted, with
- * what their clients have written. Who listens closes the socket; nothing is closed here.
+ * what their clients have written. Who listens has the socket closed.
  */
 final class Acceptors {
     private static final int BACKLOG = 512;
@@ -65,6 +66,8 @@
                     handedOver++;
                     thread.guarded(() -> accepted.accept(connection));
                 }
+            } catch (ClosedChannelException e) {
+                Logger.debug("the listening socket has been closed");
             } catch (IOException e) {
                 Logger.warn("accept failed: {}", e.getMessage());
             }
@@ -77,6 +80,11 @@
         return server;
     }
 
+    /** Closes a listening socket once what waits there is handed over, as far as the bound on it allows. */
+    void closeEmptied(AcceptingChannel<StreamConnection> server, Runnable over) {
+        ExistingTcpServer.closeEmptied(server, BACKLOG, () -> loop.execute(over)); // behind those accepted
+    }
+
     /** Whether connections may be waiting unaccepted because no more may be open. */
     void backlog(boolean mayWait) {
         backlog = mayWait;
--- a/src/main/java/junipercourse/net/Loop.java
+++ b/src/main/java/junipercourse/net/Loop.java
@@ -205,6 +205,11 @@
         return acceptors.listen(socket, most, accepted);
     }
 
+    /** Closes a listening socket once what waits there is handed over, as far as the bound on it allows. */
+    public void closeEmptied(AcceptingChannel<StreamConnection> server, Runnable handedOver) {
+        acceptors.closeEmptied(server, handedOver);
+    }
+
     /** Opens a connection; exactly one of the two is called, later, on the I/O thread. */
     public Dial dial(InetSocketAddress address, double timeout, Consumer<StreamConnection> connected,
             Consumer<DialFailure> failed) {
--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -14,7 +14,6 @@
 import junipercourse.decision.DispatchApi.Settings;
 import junipercourse.net.Descriptors;
 import junipercourse.net.Loop;
-import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
 
@@ -40,12 +39,12 @@
     private final Descriptors.Share share;
     private final Shows shows;
     private final Slots<Session> sessions = new Slots<>();
+    private final long mostInput;
     private AcceptingChannel<StreamConnection> server;
     private boolean sharesSocket;
     private boolean beside;
     private Runnable whenEmpty;
     private boolean ending;
-    private final long mostInput;
     private long input;
 
     /**
@@ -148,8 +147,7 @@
 
     /**
      * While no more are accepted, others may have been there for long without being seen. The acceptor
-     * counts a
-     * connection until its descriptor is closed.
+     * counts a connection until its descriptor is closed.
      */
     private void full() {
         loop.backlog(share.open() + share.closingNow() >= mostClients);
@@ -158,8 +156,7 @@
     /**
      * Guards the clients that ask against those that only hold connections: closes the one that has been
      * there for longest without ever asking, or else the one that has been idle for longest. False if there
-     * is
-     * none whose time is up: a client that waits for its answer is never closed for one that comes.
+     * is none whose time is up: a client that waits for its answer is never closed for one that comes.
      */
     private boolean makeRoom() {
         double now = loop.attended();
@@ -186,11 +183,13 @@
         return sessions.all().stream().min(Comparator.comparingDouble(since)).orElse(null);
     }
 
-    /** From now on queries are refused: what is taken is still finished. */
-    public void end() {
+    /** From now on queries are refused. The task runs once all that have connected are sessions of ours. */
+    public void end(Runnable handedOver) {
         ending = true;
-        if (!sharesSocket) { // see InheritedSocket: that one is not closed
-            IoUtils.safeClose(server);
+        if (sharesSocket) { // see InheritedSocket: that one is not closed
+            handedOver.run();
+        } else { // whoever the system has let in would be reset by the close
+            loop.closeEmptied(server, handedOver);
         }
     }
 
--- a/src/main/java/org/xnio/nio/ExistingTcpServer.java
+++ b/src/main/java/org/xnio/nio/ExistingTcpServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
 import org.xnio.ChannelListener;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
@@ -10,10 +11,13 @@
 
 /**
  * Lets a worker accept on a listening socket that exists already. XNIO 3.8 opens server sockets of its own
- * only; this puts an existing one behind the very parts that {@code createStreamConnectionServer} makes. They
- * are visible in their package alone, which is why this one class stands here.
+ * only; this puts an existing one behind the very parts that {@code createStreamConnectionServer} makes, and
+ * closes either kind without losing what waits. They are visible in their package alone, which is why this
+ * one class stands here.
  */
 public final class ExistingTcpServer {
+    private static final int MOST_A_TURN = 128; // that the worker accepts before it looks elsewhere
+
     private ExistingTcpServer() { }
 
     /**
@@ -31,4 +35,25 @@
         server.setAcceptListener(accepted);
         return server;
     }
+
+    /**
+     * Accepts whatever waits in the system's queue, hands it over and closes the socket, all in one turn of
+     * the worker's accepting thread, which alone may do so: what is left in the queue at the close is reset.
+     *
+     * @param backlog the length of that queue
+     * @param over runs on that thread once all has been queued for the I/O threads
+     */
+    public static void closeEmptied(AcceptingChannel<StreamConnection> server, int backlog, Runnable over) {
+        QueuedNioTcpServer2 accepting = (QueuedNioTcpServer2) server;
+        ((NioXnioWorker) server.getWorker()).getAcceptThread().execute(() -> {
+            try {
+                for (int taken = 0; taken <= backlog; taken += MOST_A_TURN) {
+                    accepting.handleReady();
+                }
+            } finally {
+                IoUtils.safeClose(server);
+                over.run();
+            }
+        });
+    }
 }
--- a/src/test/java/junipercourse/TestBench.java
+++ b/src/test/java/junipercourse/TestBench.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import junipercourse.config.Config;
 import junipercourse.core.Backend.Member;
@@ -145,13 +146,29 @@
     public void end(Runnable idle) {
         CountDownLatch begun = new CountDownLatch(1);
         loop.execute(() -> {
-            front.end();
-            gateway.whenIdle(idle);
+            front.end(() -> gateway.whenIdle(idle));
             begun.countDown();
         });
         await(() -> begun.getCount() == 0);
     }
 
+    /** Holds the dispatcher's thread, as a long turn of its own does; the task returned lets it go. */
+    public Runnable hold() {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        loop.execute(() -> {
+            held.countDown();
+            await(() -> release.getCount() == 0);
+        });
+        await(() -> held.getCount() == 0);
+        return release::countDown;
+    }
+
+    /** Runs a task on the dispatcher's thread, right behind what is held there, before sockets are read. */
+    public void behind(Consumer<PgFront> task) {
+        loop.execute(() -> task.accept(front));
+    }
+
     public Client client() throws IOException {
         Client c = new Client(front.address());
         parts.add(c);
@@ -344,15 +361,23 @@
             };
         }
 
+        /** The session's number and its secret, by which it is cancelled. */
+        public ByteBuffer key() {
+            return ByteBuffer.wrap(key);
+        }
+
         /** Sends a CancelRequest with this session's key over a connection of its own. */
         public void cancel() throws IOException {
             try (Socket s = new Socket(front.getAddress(), front.getPort())) {
-                byte[] packet = ByteBuffer.allocate(16).putInt(16).putInt(80877102).put(key).array();
-                s.getOutputStream().write(packet);
+                s.getOutputStream().write(cancelRequest());
                 s.getInputStream().read();
             }
         }
 
+        public byte[] cancelRequest() {
+            return ByteBuffer.allocate(16).putInt(16).putInt(80877102).put(key).array();
+        }
+
         @Override
         public void close() throws IOException {
             socket.close();
