Tell no part of a result as all: rows right behind an answer's length spoil it

EngineConnection.received took any whole answer, whatever came right behind it. A length (or a last chunk) that ends at a row's end, or at 0, left a body that FetchPages holds for whole rows, and the client got CommandComplete after part of them. What follows in the same read and holds a column's end, without beginning another answer, now spoils the answer; the engine is asked for it again. What follows in a later read cannot be told from silence by then: that is left.

--- a/src/main/java/junipercourse/engine/EngineConnection.java
+++ b/src/main/java/junipercourse/engine/EngineConnection.java
@@ -84,6 +84,9 @@
             if (response == null || call == null) {
                 throw new HttpParser.GarbledException("an answer to nothing");
             }
+            if (bytes.hasRemaining() && HttpParser.rowsFollow(bytes)) {
+                throw new HttpParser.GarbledException("rows behind the length told");
+            }
             answered(response, bytes.hasRemaining());
         } catch (HttpParser.GarbledException e) {
             counters.add(Count.ENGINES_GARBLED);
--- a/src/main/java/junipercourse/engine/HttpParser.java
+++ b/src/main/java/junipercourse/engine/HttpParser.java
@@ -55,6 +55,15 @@
         return response;
     }
 
+    /**
+     * Whether what came right behind an answer is more of its rows: then its length was told too short, and
+     * what it leaves over may look like a whole result. Another answer, or noise, is none of them.
+     */
+    static boolean rowsFollow(ByteBuffer rest) {
+        String text = StandardCharsets.ISO_8859_1.decode(rest.duplicate()).toString();
+        return text.indexOf('\t') >= 0 && !text.startsWith("HTTP/");
+    }
+
     private HttpResponse parse(ByteBuffer in) throws GarbledException {
         while (true) {
             if (state == State.BODY || state == State.CHUNK) {
