Test on sockets what is sent again, by effect and proof, and that no two attempts are out

RepeatsTest plays each row of PROTOCOL's proofs (refused, never up, 503 and 504 with X-Unrun) and 11 faults that prove nothing (503 and 504 without it, an error, resets, garbled and cut answers, a DELETE without an answer, silence, a hang in the work) against a class that may be repeated, one by key for 12 s, one by key for half a second and one never.

--- /dev/null
+++ b/src/test/java/junipercourse/engine/RepeatsTest.java
@@ -0,0 +1,125 @@
+package junipercourse.engine;
+
+import static junipercourse.TestBench.FAILED;
+import static junipercourse.TestBench.FULL;
+import static junipercourse.TestBench.GIVEN_UP;
+import static junipercourse.TestBench.OK;
+import static junipercourse.TestBench.RUNNING;
+import static junipercourse.TestBench.SILENCE;
+import static junipercourse.TestBench.query;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.Function;
+import junipercourse.TestBench;
+import junipercourse.TestBench.StubEngine;
+import junipercourse.core.Counters.Count;
+import junipercourse.decision.DispatchApi.Stage;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * PROTOCOL's list of proofs that an attempt never ran, against what is none, for each effect: what is sent
+ * again, and that there are never two out.
+ */
+class RepeatsTest {
+    /** By what may be repeated: always, by key for 12 s and for half a second, and never. */
+    private static final List<String> CLASSES = List.of("check", "load", "soon", "move");
+    private static final double SOON_S = 0.5;
+    private static final String CONFIG = TestBench.CONFIG.replace("\"deadline_s\":20.0}]", """
+            "deadline_s":20.0},
+            {"name":"soon","effect":"by_key","key_scope":"all","window_s":0.5,"goal_time_s":3.0,
+             "deadline_s":20.0},
+            {"name":"move","effect":"once","goal_time_s":3.0,"deadline_s":20.0}]""");
+    private static final String UNRUN = "X-Unrun: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String NONE = "Content-Length: 0\r\n\r\n";
+    private static final String GARBLED = "SSH-2.0 hello\r\n";
+    private static final String CUT = "HTTP/1.1 200 OK\r\nX-Fetches: 1\r\nContent-Length: 60\r\n\r\na\tb\tc\n";
+
+    /** What engines answer to the first attempt's calls, by row. */
+    private static final Map<String, Function<String, String>> FAULTS = Map.ofEntries(
+            Map.entry("full", call -> FULL),
+            Map.entry("over", call -> "HTTP/1.1 504 Late\r\n" + UNRUN),
+            Map.entry("full without proof", call -> "HTTP/1.1 503 Full\r\n" + NONE),
+            Map.entry("over without proof", call -> "HTTP/1.1 504 Late\r\n" + NONE),
+            Map.entry("full, proof 0", call -> "HTTP/1.1 503 Full\r\nX-Unrun: 0\r\n" + NONE),
+            Map.entry("error", call -> FAILED),
+            Map.entry("reset, then unknown", call -> call.startsWith("POST") ? TestBench.BREAK : FAILED),
+            Map.entry("reset always", call -> call.startsWith("DELETE") ? GIVEN_UP : TestBench.BREAK),
+            Map.entry("garbled always", call -> call.startsWith("DELETE") ? GIVEN_UP : GARBLED),
+            Map.entry("cut always", call -> call.startsWith("DELETE") ? GIVEN_UP : CUT),
+            Map.entry("delete unanswered", call -> call.startsWith("DELETE") ? SILENCE : GARBLED),
+            Map.entry("silent", call -> SILENCE),
+            Map.entry("hangs in its work", call -> call.startsWith("POST") ? RUNNING : SILENCE));
+
+    /** What was seen of one class. */
+    private record Seen(String kind, String answer, AttemptJudge judge, boolean again) { }
+
+    private static Seen play(String kind, Function<String, String> fault) throws IOException {
+        AttemptJudge judge = new AttemptJudge(fault);
+        try (TestBench bench = new TestBench(CONFIG, 512)) {
+            bench.engine(1, judge::answer);
+            bench.engine(2, judge::answer);
+            String answer = bench.client().start().ask(query(kind, 1, 7400));
+            return new Seen(kind, answer, judge, judge.posts() > 1);
+        }
+    }
+
+    /**
+     * {@code again}: y or n for each class, ? where its time decides: the half second's window is judged by
+     * itself, and one that hangs in its work after it was heard is waited for, past some clients' time.
+     */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "full | yyyy", "over | nnnn", "full without proof | yy?n", "over without proof | yy?n",
+        "full, proof 0 | yy?n", "error | yy?n", "reset, then unknown | yy?n", "reset always | yy?n",
+        "garbled always | yy?n", "cut always | yynn", "delete unanswered | yynn", "silent | yynn",
+        "hangs in its work | ??nn"})
+    void anAttemptIsRepeatedByItsEffectAndByProof(String row, String again) throws Exception {
+        ExecutorService side = Executors.newFixedThreadPool(CLASSES.size());
+        List<Future<Seen>> all = new ArrayList<>();
+        for (String kind : CLASSES) {
+            Callable<Seen> one = () -> play(kind, FAULTS.get(row));
+            all.add(side.submit(one));
+        }
+        side.shutdown();
+        for (int i = 0; i < all.size(); i++) {
+            Seen seen = all.get(i).get();
+            String what = row + ": " + seen;
+            assertFalse(seen.judge.twoOut(), what);
+            boolean may = again.charAt(i) != 'n';
+            assertTrue(may || !seen.again, what);
+            assertTrue(again.charAt(i) != 'y' || seen.again && seen.answer.startsWith("T D(a b c)"), what);
+            assertTrue(!seen.kind.equals("soon") || row.equals("full") || seen.judge.spread() < SOON_S, what);
+            boolean harmless = seen.answer.startsWith("E(53");
+            assertTrue(!harmless || row.equals("over") || !seen.kind.equals("move"), what);
+        }
+    }
+
+    /** Proofs without a byte: a refused connection, and one that never comes up. Every effect goes on. */
+    @ParameterizedTest
+    @CsvSource({"check,refused", "load,refused", "move,refused", "check,never up", "load,never up",
+        "move,never up"})
+    void whatWasNeverWrittenGoesElsewhere(String kind, String fault) throws Exception {
+        try (TestBench bench = new TestBench(CONFIG, 512); FullQueue never = new FullQueue();
+                StubEngine dead = new StubEngine(call -> OK)) {
+            dead.close();
+            bench.list(1, fault.equals("refused") ? dead : never.listed(), Stage.READY);
+            TestBench.Client client = bench.client().start();
+            client.write(TestBench.Client.message(query(kind, 1, 7000)));
+            TestBench.await(() -> bench.counters.get(Count.ENDS_UNREACHABLE) >= 1);
+            StubEngine good = bench.engine(2, call -> OK);
+            assertEquals("T D(a b c) C(SELECT 1)", client.answer());
+            assertEquals(1, good.count("POST"));
+        }
+    }
+}
