Ask again right before a POST's first byte what its send rested on

A send was decided at one moment and its bytes left at a later one: after a queue for descriptors, a dial of up to the dial timeout or a stall of our own. Fetch.Start.mayWrite asked only whether the engine was ready and the attempt was not given up. So a POST left for a client whose end lay unread beside the new connection, for a repeat whose window had passed during the dial, after the deadline, and to an engine that had been started again under its id meanwhile.

Now it asks in this one place, adjacent to the write: the client's input is read to what lies there (Reply.present), the module says whether deadline, window, class, list, life, and turn still hold (Dispatcher.mayStart, pure, time as an argument), and the pool, which is now one of an engine's lives, is ready. During the catching-up after a stall a connection that came up waits: a cancel may lie in the accept queue, a drain in the bus's socket.

What fails the check ends as UNSENT, which says that it never ran and teaches nothing of the engine (TURNED_AWAY taught that it was full, MOOT ended the request, CANCELLED and TIMEOUT of an unwritten attempt counted as having run: the key rested, the window began, a class unsafe to repeat was refused). It counts neither against the limit of tries nor as a further attempt; both sides still number all attempts alike. A start's dial has the settings' time: the 0.6 s for an answer cut it off and ended the request as MOOT; now they begin with the first byte.

--- a/src/main/java/junipercourse/core/Attempts.java
+++ b/src/main/java/junipercourse/core/Attempts.java
@@ -42,7 +42,7 @@
         Exchange x = answers.find(id.value());
         double now = loop.now();
         boolean spent = x != null && settings.limits().tryLimit() > 0
-                && x.attempts >= settings.limits().tryLimit();
+                && x.sent() >= settings.limits().tryLimit();
         if (x == null || x.answered || x.out != null || spent || now >= x.query.notAfter()) {
             counters.add(Count.ATTEMPTS_NOT_SENT);
             int attempt = x == null ? 0 : x.attempts++;
@@ -59,6 +59,11 @@
                 Attempts.this.ended(x, engine, attempt, now, end);
             }
 
+            @Override
+            public boolean mayStart() {
+                return Attempts.this.mayStart(x, attempt);
+            }
+
             @Override
             public void written() {
                 figures.tried(x.query.queryClass());
@@ -67,6 +72,14 @@
         x.attemptTimeout = loop.at(until, () -> x.out.giveUp(Outcome.TIMEOUT));
     }
 
+    /**
+     * Guards against a request that is sent for nobody: its client's last bytes may lie unread while a
+     * connection comes up, and time has passed since the attempt was decided.
+     */
+    private boolean mayStart(Exchange x, int attempt) {
+        return x.reply.present() && !x.answered && module.mayStart(loop.now(), new RequestId(x.id), attempt);
+    }
+
     /** Calls an attempt off, if it is the one that is out. */
     void cancel(RequestId id, int attempt) {
         Exchange x = answers.find(id.value());
@@ -80,6 +93,7 @@
         x.out = null;
         loop.cancel(x.attemptTimeout);
         x.attemptTimeout = null;
+        x.unsent += end.outcome() == Outcome.UNSENT ? 1 : 0;
         counters.add(Count.valueOf("ENDS_" + end.outcome()));
         if (end.outcome() == Outcome.OK && !x.answered) {
             answers.served(x, end.pages());
--- a/src/main/java/junipercourse/core/Backend.java
+++ b/src/main/java/junipercourse/core/Backend.java
@@ -16,7 +16,8 @@
     void roster(RosterKind kind, List<Member> members);
 
     /**
-     * Starts an attempt. Its end is told exactly once, and never before this call has returned.
+     * Starts an attempt. Its end is told exactly once, and never before this call has returned. One of which
+     * nothing was written ends as {@link Outcome#UNSENT}, unless its engine could not be reached.
      *
      * @param giveUpAt Unix time in seconds until which the attempt is waited for
      */
@@ -24,7 +25,7 @@
 
     /** An attempt that is out. */
     interface Attempt {
-        /** Gives the attempt up; unless another end is on its way already, it ends with this outcome. */
+        /** Gives the attempt up; unless another end is on its way already, it ends so if it was written. */
         void giveUp(Outcome as);
     }
 
@@ -42,6 +43,14 @@
     interface Ending {
         void ended(End end);
 
+        /**
+         * Asked right before the first byte of the attempt's request, however long after {@link #start} that
+         * is: false ends it unwritten, as {@link Outcome#UNSENT}.
+         */
+        default boolean mayStart() {
+            return true;
+        }
+
         /** The attempt's request has been written whole to its engine; told once at most, before its end. */
         default void written() { }
     }
--- a/src/main/java/junipercourse/core/Exchange.java
+++ b/src/main/java/junipercourse/core/Exchange.java
@@ -11,10 +11,16 @@
     Deadlines.Entry attemptTimeout;
     Backend.Attempt out;
     int attempts;
+    int unsent;
     boolean answered;
 
     Exchange(Query query, Reply reply) {
         this.query = query;
         this.reply = reply;
     }
+
+    /** Attempts of which an engine may have seen something. */
+    int sent() {
+        return attempts - unsent;
+    }
 }
--- a/src/main/java/junipercourse/core/LastAnswers.java
+++ b/src/main/java/junipercourse/core/LastAnswers.java
@@ -32,7 +32,7 @@
         List<Exchange> open = answers.all().stream().filter(x -> !x.answered)
                 .sorted(Comparator.comparingDouble(x -> -x.query.arrival().at())).toList();
         for (Exchange x : open) {
-            if (x.attempts == 0 || answers.open() > kept && harmless(x)) {
+            if (x.sent() == 0 || answers.open() > kept && harmless(x)) {
                 answers.refused(x, 0, "the dispatcher is being replaced");
                 abandon.accept(x);
             }
@@ -42,7 +42,7 @@
     /** Whether the query may be tried again, although an attempt of it may have run. */
     private boolean harmless(Exchange x) {
         QueryClass c = settings.classes().get(x.query.queryClass());
-        return x.attempts == 0 || c.effect() == Effect.REPEATABLE
+        return x.sent() == 0 || c.effect() == Effect.REPEATABLE
                 || c.effect() == Effect.BY_KEY && c.scope() == KeyScope.ALL;
     }
 
--- a/src/main/java/junipercourse/decision/Admission.java
+++ b/src/main/java/junipercourse/decision/Admission.java
@@ -104,7 +104,7 @@
         int limit = s.settings.limits().tryLimit();
         Attempt first = job.firstRan == null ? a : job.firstRan;
         boolean keyed = job.c.effect() == Effect.BY_KEY;
-        boolean spent = limit > 0 && job.tries >= limit || !rules.rule7Budget(now, job);
+        boolean spent = limit > 0 && job.sent() >= limit || !rules.rule7Budget(now, job);
         boolean tooLate = now + est.expected(job) > job.r.notAfter() - ANSWER_LEAD_S
                 || keyed && now > first.sentAt + job.c.window() - RETRY_S * 2;
         if (job.c.effect() == Effect.ONCE || spent || tooLate) { return false; }
--- a/src/main/java/junipercourse/decision/DispatchApi.java
+++ b/src/main/java/junipercourse/decision/DispatchApi.java
@@ -51,7 +51,9 @@
     /** How an attempt or a probe ended. */
     enum Outcome {
         OK(false), ERROR(false), TURNED_AWAY(true), TIMEOUT(false), UNREACHABLE(true), RESET(false),
-        CANCELLED(false), MOOT(true);
+        CANCELLED(false), MOOT(true),
+        /** Nothing of it was written, for reasons of the gateway's own: it tells nothing of its engine. */
+        UNSENT(true);
 
         private final boolean neverRan;
 
--- a/src/main/java/junipercourse/decision/Dispatcher.java
+++ b/src/main/java/junipercourse/decision/Dispatcher.java
@@ -101,23 +101,21 @@
     }
 
     @Override public void streamBegun(double now, RequestId id, int attempt, EngineId engine) {
-        Job job = s.jobs.get(id);
-        if (job != null && job.run != null && job.run.index == attempt) {
-            job.run.node.sign(now);
-            job.run = null; // it may neither be cut nor called off any more
-            job.streaming = true;
-        }
+        Attempt a = s.running(id, attempt);
+        if (a == null) { return; }
+        a.node.sign(now);
+        a.job.run = null; // it may neither be cut nor called off any more
+        a.job.streaming = true;
     }
 
     @Override public void note(double now, RequestId id, int attempt, NoteKind kind, double value) {
-        Job job = s.jobs.get(id);
-        if (job != null && job.run != null && job.run.index == attempt) {
-            job.run.node.sign(now);
-            job.run.spilled |= kind == NoteKind.SPILL;
-            if (kind == NoteKind.PROGRESS && value > 0) {
-                job.run.foretold = (now - job.run.sentAt) / value;
-                if (cutoffs.outlives(now, job.run)) { s.looks.add(now, job); }
-            }
+        Attempt a = s.running(id, attempt);
+        if (a == null) { return; }
+        a.node.sign(now);
+        a.spilled |= kind == NoteKind.SPILL;
+        if (kind == NoteKind.PROGRESS && value > 0) {
+            a.foretold = (now - a.sentAt) / value;
+            if (cutoffs.outlives(now, a)) { s.looks.add(now, a.job); }
         }
     }
 
@@ -127,23 +125,26 @@
         if (a == null) { return; }
         s.dirty = true;
         learning.learn(now, a, end);
-        s.mix.add(now - a.sentAt, a.job.c.threads(), a.mb, GAIN);
-        a.node.drop(a);
-        boolean full = end.outcome() == Outcome.TURNED_AWAY; // whose cores may look idle
+        Outcome o = end.outcome();
+        a.over(o);
+        boolean full = o == Outcome.TURNED_AWAY; // whose cores may look idle
         if (!full) { words.report(now, a.node, end.report(), learning.slow(a, now - a.sentAt)); }
-        if (!end.outcome().neverRan() && job.firstRan == null) { job.firstRan = a; }
-        if (job.run == a) { job.run = null; }
         if (end.ended()) {
             s.close(job);
         } else if (!job.closed && job.run == null) {
-            admission.again(now, job, a, end.outcome());
+            admission.again(now, job, a, o);
         }
-        Outcome o = end.outcome();
         boolean unsure = o != Outcome.OK && !o.neverRan(); // an error is also told of what is not known
         if (unsure) { s.keyLines.rest(job, now + s.settings.guarantees().orderSettle() + RETRY_S); }
         s.forget(job);
     }
 
+    /** Asked right before an attempt's first byte; if not, the attempt ends as UNSENT. Changes nothing. */
+    public boolean mayStart(double now, RequestId id, int attempt) {
+        Attempt a = s.running(id, attempt);
+        return a != null && rules.mayStart(now, a);
+    }
+
     @Override public void abandoned(double now, RequestId id) {
         Job job = s.jobs.get(id);
         if (job != null && !job.closed) { admission.end(job); }
--- a/src/main/java/junipercourse/decision/Job.java
+++ b/src/main/java/junipercourse/decision/Job.java
@@ -18,7 +18,7 @@
     final long seq;
     final boolean over;
     Attempt run, firstRan;
-    int tries, errors;
+    int tries, unsent, errors;
     boolean restart, closed, streaming, guilty;
     Node avoid, blamed;
     double rank, lookAt = Double.POSITIVE_INFINITY, waitUntil;
@@ -33,6 +33,11 @@
         this.over = over;
     }
 
+    /** Attempts of which an engine may have seen something; all that were made, less those. */
+    int sent() {
+        return tries - unsent;
+    }
+
     /** The time it would take alone by its estimate; 1 where there is none. */
     double unit() {
         return r.cost() > 0 ? r.cost() / c.threads() : 1;
--- a/src/main/java/junipercourse/decision/Learning.java
+++ b/src/main/java/junipercourse/decision/Learning.java
@@ -7,6 +7,8 @@
 /** What the end of an attempt teaches of its class, its engine and the fleet. */
 record Learning(State s, Estimates est, Rules rules, Words words, Health health) {
     void learn(double now, Attempt a, AttemptEnd end) {
+        if (end.outcome() == Outcome.UNSENT) { return; } // that is no news of the engine
+        s.mix.add(now - a.sentAt, a.job.c.threads(), a.mb, GAIN);
         ClassView v = a.job.view;
         Node n = a.node;
         double took = Math.max(now - a.sentAt, 1e-4);
@@ -15,6 +17,7 @@
         if (ok) {
             n.sign(now);
             n.answeredAt = now;
+            n.faults = n.breaks = 0;
             learnGrant(a, end.trueMb());
             double usual = Math.min(took, a.expected * SAMPLE_CAP); // one bad plan of few is no tail
             v.tryTook = Estimates.mean(v.tryTook, usual);
@@ -35,8 +38,6 @@
                 s.shape.add(size, !ok);
             }
         }
-        n.faults = ok ? 0 : n.faults;
-        n.breaks = ok ? 0 : n.breaks;
         if (end.outcome() == Outcome.UNREACHABLE || end.outcome() == Outcome.RESET) {
             n.breaks++; // single connections break at engines that answer others all the while
             if (now - n.answeredAt > ALIVE_S || n.breaks >= BREAKS) {
--- a/src/main/java/junipercourse/decision/Pick.java
+++ b/src/main/java/junipercourse/decision/Pick.java
@@ -40,8 +40,7 @@
     private double cost(Job job, Node n, double load) {
         int rank = tiers.homes(job).indexOf(n);
         double home = rank < 0 ? 0 : n.back ? HOME_BONUS : HOME_BONUS * (1 - (double) rank / FRONT_HOMES);
-        double cost = load - home;
-        cost += tiers.loadHome(job, n);
+        double cost = load - home + tiers.loadHome(job, n);
         boolean heldUp = (job.c.waits() || job.c.load()) && n.loads.containsKey(job.r.tableGroup());
         return cost + (heldUp ? HELD_PENALTY : 0) + (n == job.avoid ? 1 : 0);
     }
@@ -98,19 +97,13 @@
         }
         boolean selfCut = !s.settings.limits().cancel() && !n.back && job.c.effect() != Effect.ONCE;
         s.actions.send(job.r.id(), n.id, selfCut ? est.cutAfter(job) : 0);
-        Attempt a = new Attempt(job, n);
-        a.sentAt = now;
-        a.mb = mb;
-        a.expected = est.expected(job);
-        if (a.index > 0) { s.resent.add(now); }
+        double charge = rules.cold(now, n) ? rules.charge(job.view, now - n.coldFrom, n) : 0;
+        Attempt a = new Attempt(job, n, now, mb, est.expected(job), charge);
+        a.begin();
+        if (job.sent() > 1) { s.resent.add(now); }
         job.view.started += a.index > 0 || job.over ? 0 : 1;
-        job.run = a;
-        job.ends.put(a.index, a);
-        n.lastSign = n.out == 0 ? now : n.lastSign;
-        n.take(job, mb);
         s.openThreads += n.ejected ? 0 : job.c.threads();
         if (n.ejected) { n.trialAt = now + n.trialGap; }
-        n.coldCredit -= rules.cold(now, n) ? rules.charge(job.view, now - n.coldFrom, n) : 0;
         s.looks.add(now + Math.min(LOOK_S, est.cutAfter(job)), job);
     }
 
--- a/src/main/java/junipercourse/decision/Rules.java
+++ b/src/main/java/junipercourse/decision/Rules.java
@@ -12,6 +12,12 @@
                 && rule5Turn(now, job) && rule6Allowed(job, n) && rule7Budget(now, job);
     }
 
+    /** What a send rested on, asked again right before its first byte, which may leave long after it. */
+    boolean mayStart(double now, Attempt a) {
+        return !a.cancelled && a.coldFrom == a.node.coldFrom && rule1Open(now, a.job) && rule3Listed(a.node)
+                && mayRepeat(now, a.job, a.node) && rule5Turn(now, a.job);
+    }
+
     /** Rule 1, no request is lost: nothing is sent once it is over or out of time. */
     private boolean rule1Open(double now, Job job) {
         return !job.closed && now < job.r.notAfter() - ANSWER_LEAD_S;
@@ -21,8 +27,11 @@
     boolean rule2Effect(double now, Job job, Node n) {
         int limit = s.settings.limits().tryLimit();
         boolean copies = s.settings.limits().secondCopies() && job.c.effect() == Effect.REPEATABLE;
-        boolean spent = limit > 0 && job.tries >= limit;
-        if (spent || job.run != null || !job.ends.isEmpty() && !copies) { return false; }
+        boolean spent = limit > 0 && job.sent() >= limit;
+        return !spent && job.run == null && (job.ends.isEmpty() || copies) && mayRepeat(now, job, n);
+    }
+
+    private static boolean mayRepeat(double now, Job job, Node n) {
         return job.firstRan == null || job.c.effect() == Effect.REPEATABLE
                 || job.c.effect() == Effect.BY_KEY && sameGroup(job.firstRan, n)
                 && now < job.firstRan.sentAt + job.c.window() - ANSWER_LEAD_S;
@@ -78,7 +87,7 @@
     /** Rule 7, further attempts within the budget. */
     boolean rule7Budget(double now, Job job) {
         Guarantees g = s.settings.guarantees();
-        if (job.tries == 0 || g.budgetWindow() <= 0) { return true; }
+        if (job.sent() == 0 || g.budgetWindow() <= 0) { return true; }
         return s.resent.countAfter(now - g.budgetWindow() - TICK_S) + 1 <= g.budgetFree()
                 + g.budgetShare() * s.taken.countAfter(now - g.budgetWindow() + TICK_S);
     }
--- a/src/main/java/junipercourse/decision/State.java
+++ b/src/main/java/junipercourse/decision/State.java
@@ -62,6 +62,12 @@
         this.shares = settings.tenants().stream().map(t -> new Bucket()).toList();
     }
 
+    /** The attempt of that number, if it is the one that the request waits for; else null. */
+    Attempt running(RequestId id, int attempt) {
+        Job job = jobs.get(id);
+        return job == null || job.run == null || job.run.index != attempt ? null : job.run;
+    }
+
     /** Nothing more is owed for a request; what it has out may still end. */
     void close(Job job) {
         job.closed = true;
--- a/src/main/java/junipercourse/decision/Tiers.java
+++ b/src/main/java/junipercourse/decision/Tiers.java
@@ -14,8 +14,7 @@
         s.front.clear();
         s.back.clear();
         s.homesOf.clear();
-        s.backCores = 0;
-        s.allCores = 0;
+        s.backCores = s.allCores = 0;
         for (int i = 0; i < listed.size(); i++) {
             Node n = listed.get(i);
             n.back = i >= listed.size() - backs;
--- a/src/main/java/junipercourse/engine/EngineCall.java
+++ b/src/main/java/junipercourse/engine/EngineCall.java
@@ -7,6 +7,9 @@
 final class EngineCall {
     /** Is told how a call went. */
     interface Listener {
+        /** There is room for a connection, which is being opened now. */
+        default void opening() { }
+
         /** Asked right before the first byte: false takes the call back unwritten. */
         boolean mayWrite();
 
@@ -46,18 +49,24 @@
         this.listener = listener;
     }
 
+    /** Until its first byte it is given up by this. */
     void dialing(Runnable stop) {
         stopDialing = stop;
     }
 
+    void opening() {
+        listener.opening();
+    }
+
     /** Writes the call on a connection, or closes that. */
     void run(EngineConnection connection) {
-        stopDialing = null;
-        if (!wanted || !listener.mayWrite()) {
+        stopDialing = connection::close;
+        if (!wanted || !connection.isOpen() || !listener.mayWrite()) {
             connection.close();
             takenBack();
             return;
         }
+        stopDialing = null;
         on = connection;
         connection.write(this, request);
     }
--- a/src/main/java/junipercourse/engine/EngineClient.java
+++ b/src/main/java/junipercourse/engine/EngineClient.java
@@ -48,12 +48,12 @@
                 continue;
             }
             EnginePool pool = pools.get(e.id());
-            if (pool != null && !pool.address().equals(m.address())) {
+            if (pool != null && !pool.isOf(m)) {
                 retire(e.id());
                 pool = null;
             }
             if (pool == null) {
-                pool = new EnginePool(loop, e.id(), m.address(), dialTimeout, budget, counters);
+                pool = new EnginePool(loop, m, dialTimeout, budget, counters);
                 pools.put(e.id(), pool);
             }
             pool.ready(e.stage() == Stage.READY);
@@ -75,7 +75,7 @@
     public Attempt start(EngineId engine, Query query, double giveUpAt, Ending ending) {
         EnginePool pool = pools.get(engine);
         if (pool == null || !pool.ready()) {
-            loop.execute(() -> ending.ended(End.of(Outcome.TURNED_AWAY)));
+            loop.execute(() -> ending.ended(End.of(Outcome.UNSENT)));
             return as -> { };
         }
         Fetch fetch = new Fetch(loop, pool, query, giveUpAt, gauges, counters, ending);
--- a/src/main/java/junipercourse/engine/EngineConnection.java
+++ b/src/main/java/junipercourse/engine/EngineConnection.java
@@ -56,6 +56,11 @@
         return true;
     }
 
+    /** Whether it has neither been closed nor broken. */
+    boolean isOpen() {
+        return !left;
+    }
+
     void write(EngineCall next, byte[] request) {
         unproven.add(next);
         call = next;
--- a/src/main/java/junipercourse/engine/EnginePool.java
+++ b/src/main/java/junipercourse/engine/EnginePool.java
@@ -1,17 +1,17 @@
 package junipercourse.engine;
 
-import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import junipercourse.core.Backend.Member;
 import junipercourse.core.Counters;
 import junipercourse.core.Counters.Count;
-import junipercourse.decision.DispatchApi.EngineId;
 import junipercourse.net.Descriptors;
 import junipercourse.net.Loop;
 
 /**
- * Opens connections to one engine. A later engine at the same address has a pool of its own. Nothing is kept
- * for later queries: a late second copy of an answer would be taken for the answer to another.
+ * Opens connections to one engine in one of its lives. A later engine at the same address has a pool of its
+ * own, and so has one that was started again under its id: what waits for the old one goes to neither.
+ * Nothing is kept for later queries: a late second copy of an answer would be taken for that to another.
  */
 final class EnginePool {
     /** How many connections to all engines may be open or opening. */
@@ -56,28 +56,27 @@
 
     private final Loop loop;
     private final Budget budget;
-    private final EngineId id;
-    private final InetSocketAddress address;
+    private final Member member;
     private final double dialTimeout;
     private final Counters counters;
     private boolean ready = true;
 
-    EnginePool(Loop loop, EngineId id, InetSocketAddress address, double dialTimeout, Budget budget,
-            Counters counters) {
+    EnginePool(Loop loop, Member member, double dialTimeout, Budget budget, Counters counters) {
         this.loop = loop;
         this.budget = budget;
-        this.id = id;
-        this.address = address;
+        this.member = member;
         this.dialTimeout = dialTimeout;
         this.counters = counters;
     }
 
     String name() {
-        return String.format("s-%08x", id.value());
+        return String.format("s-%08x", member.engine().id().value());
     }
 
-    InetSocketAddress address() {
-        return address;
+    /** Whether a listed engine is this one, where it was and not started since. */
+    boolean isOf(Member listed) {
+        return member.address().equals(listed.address())
+                && member.engine().startedAt() == listed.engine().startedAt();
     }
 
     /** Whether new work may go there now. */
@@ -99,9 +98,12 @@
             waitForRoom(call, starts, owner);
             return;
         }
-        Loop.Dial dial = loop.dial(address, dialTimeout, c -> {
+        call.opening();
+        Loop.Dial dial = loop.dial(member.address(), dialTimeout, c -> {
             counters.add(Count.ENGINES_CONNECTED);
-            call.run(new EngineConnection(loop, c, this, owner, counters));
+            EngineConnection up = new EngineConnection(loop, c, this, owner, counters);
+            call.dialing(up::close);
+            loop.whenCaughtUp(() -> call.run(up)); // a cancel or a drain may lie unread after a stall
         }, why -> {
             budget.giveBack();
             call.unreachable(why == Loop.DialFailure.REFUSED);
--- a/src/main/java/junipercourse/engine/Fetch.java
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -80,11 +80,11 @@
     }
 
     private final class Start extends Asking {
-        /** Guards drains: the list may have changed while the connection came up. */
+        /** Guards against sends on facts that have changed since; reading the client's may change others. */
         @Override
         public boolean mayWrite() {
-            posted = pool.ready() && givenUpAs == null;
-            return posted && super.mayWrite();
+            posted = ending.mayStart() && pool.ready() && givenUpAs == null && super.mayWrite();
+            return posted;
         }
 
         @Override
@@ -92,11 +92,6 @@
             ending.written();
         }
 
-        @Override
-        public void takenBack() {
-            end(End.of(Outcome.TURNED_AWAY));
-        }
-
         @Override
         public void unreachable(boolean refused) {
             end(End.of(Outcome.UNREACHABLE));
@@ -107,8 +102,8 @@
         void failed() {
             if (posted) {
                 askAgain();
-            } else { // no room for a connection in all that time, which is no fault of the engine
-                end(End.of(Outcome.MOOT));
+            } else { // no room for a connection in all that time, or facts that have changed
+                end(End.of(Outcome.UNSENT));
             }
         }
     }
@@ -230,7 +225,7 @@
         givenUpAs = as;
         calls.ignore();
         if (!calls.began() || !posted) { // nothing was written
-            loop.execute(() -> end(End.of(as)));
+            loop.execute(() -> end(End.of(Outcome.UNSENT)));
             return;
         }
         givingUp.begin(OVERTAKE_S);
--- a/src/main/java/junipercourse/engine/FetchCalls.java
+++ b/src/main/java/junipercourse/engine/FetchCalls.java
@@ -34,11 +34,8 @@
     void run(byte[] request, Step step, boolean starts) {
         EngineCall mine = new EngineCall(request, step);
         call = mine;
-        loop.cancel(timer);
-        timer = loop.after(ANSWER_S, () -> {
-            mine.drop();
-            step.failed();
-        });
+        step.starts = starts;
+        due(mine, step);
         EngineConnection reused = kept;
         kept = null;
         if (reused != null && reused.usable()) {
@@ -48,6 +45,15 @@
         }
     }
 
+    /** The call has the time for its answer from now on. */
+    private void due(EngineCall mine, Step step) {
+        loop.cancel(timer);
+        timer = loop.after(ANSWER_S, () -> {
+            mine.drop();
+            step.failed();
+        });
+    }
+
     @Override
     public void free(EngineConnection connection) {
         if (ended || kept != null) {
@@ -112,6 +118,7 @@
     /** What all calls have in common. */
     abstract static class Step implements EngineCall.Listener {
         private final FetchCalls calls;
+        private boolean starts;
         private boolean onTheWay;
         private double writtenAt;
 
@@ -119,8 +126,19 @@
             this.calls = calls;
         }
 
+        /** A query's start may take as long as a connection may; only then its answer is waited for. */
+        @Override
+        public void opening() {
+            if (starts) {
+                calls.loop.cancel(calls.timer);
+            }
+        }
+
         @Override
         public boolean mayWrite() {
+            if (starts) {
+                calls.due(calls.call, this);
+            }
             onTheWay = true;
             writtenAt = calls.loop.now();
             calls.evidence.writing(writtenAt, calls.loop.attended());
--- a/src/main/java/junipercourse/pg/Conversation.java
+++ b/src/main/java/junipercourse/pg/Conversation.java
@@ -139,6 +139,12 @@
 
     // ---- what goes out ----
 
+    @Override
+    public boolean present() {
+        session.poll();
+        return waiting;
+    }
+
     @Override
     public void served(List<byte[]> pages) {
         answer(new MessageWriter().result(pages, "c1", "c2", "c3"));
--- a/src/test/java/junipercourse/TestBench.java
+++ b/src/test/java/junipercourse/TestBench.java
@@ -21,9 +21,11 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import junipercourse.config.Config;
+import junipercourse.core.Backend;
 import junipercourse.core.Backend.Member;
 import junipercourse.core.Counters;
 import junipercourse.core.Gateway;
+import junipercourse.core.Query;
 import junipercourse.core.Shows;
 import junipercourse.decision.DispatchApi.Engine;
 import junipercourse.decision.DispatchApi.EngineId;
@@ -67,6 +69,7 @@
     private final Loop loop;
     private final Gateway gateway;
     private final PgFront front;
+    private volatile Stop stop;
 
     public TestBench() throws IOException {
         this(512);
@@ -74,7 +77,12 @@
 
     /** A dispatcher that may hold so many connections to engines. */
     public TestBench(int engineConnections) throws IOException {
-        Config config = Config.parse(CONFIG, Map.of());
+        this(CONFIG, engineConnections);
+    }
+
+    /** The same with other settings. */
+    public TestBench(String text, int engineConnections) throws IOException {
+        Config config = Config.parse(text, Map.of());
         loop = new Loop(() -> counters.add(Counters.Count.INTERNAL_ERRORS),
                 error -> counters.add(Counters.Count.INTERNAL_ERRORS));
         descriptors = new Descriptors(config.resources().sockets(), 28);
@@ -82,7 +90,7 @@
                 descriptors.share("engines", engineConnections, 4), counters);
         Shows shows = new Shows();
         counters.showIn(shows);
-        gateway = new Gateway(loop, config.settings(), 7, 50, engines, counters);
+        gateway = new Gateway(loop, config.settings(), 7, 50, new Stopping(engines), counters);
         front = new PgFront(loop, config.settings(), gateway, descriptors.share("clients", MOST_CLIENTS, 0),
                 1 << 20, 7, counters, shows);
         front.listen(config.listen());
@@ -132,10 +140,15 @@
 
     /** Tells a change of the list and returns once it has been taken in. */
     public void list(int id, StubEngine e, Stage stage) {
+        list(id, e.address(), stage);
+    }
+
+    /** The same for whatever listens there. */
+    public void list(int id, InetSocketAddress address, Stage stage) {
         CountDownLatch done = new CountDownLatch(1);
         Engine entry = new Engine(new EngineId(id), 0, 0, 0, stage, 1, 0);
         loop.execute(() -> {
-            gateway.roster(RosterKind.DELTA, List.of(new Member(entry, e.address())));
+            gateway.roster(RosterKind.DELTA, List.of(new Member(entry, address)));
             loop.execute(done::countDown);
         });
         await(() -> done.getCount() == 0);
@@ -375,4 +388,79 @@
         t.setDaemon(true);
         t.start();
     }
+
+    /**
+     * Stops the loop's turn right after the dials of so many attempts from now on have begun, and before it
+     * looks for connections that came up.
+     */
+    public Stop stopAfterDials(int attempts) {
+        stop = new Stop(attempts);
+        return stop;
+    }
+
+    /** Stops the loop's turn now: what comes meanwhile is found in one pass. */
+    public Stop stop() {
+        Stop now = new Stop(1);
+        loop.execute(now::passed);
+        return now.reached();
+    }
+
+    /** A place where the loop's turn is held until {@link #goOn}. */
+    public static final class Stop {
+        private final CountDownLatch reached = new CountDownLatch(1);
+        private final CountDownLatch over = new CountDownLatch(1);
+        private int toCome;
+
+        private Stop(int attempts) {
+            toCome = attempts;
+        }
+
+        private void passed() {
+            if (--toCome == 0) {
+                reached.countDown();
+                await(() -> over.getCount() == 0, 4 * PATIENCE_MS);
+            }
+        }
+
+        /** Waits until the turn is held. */
+        public Stop reached() {
+            await(() -> reached.getCount() == 0);
+            return this;
+        }
+
+        public void goOn() {
+            over.countDown();
+        }
+    }
+
+    /** The engines, with a place to stop at. */
+    private final class Stopping implements Backend {
+        private final Backend engines;
+
+        Stopping(Backend engines) {
+            this.engines = engines;
+        }
+
+        @Override
+        public void roster(RosterKind kind, List<Member> members) {
+            engines.roster(kind, members);
+        }
+
+        @Override
+        public Attempt start(EngineId engine, Query query, double giveUpAt, Ending ending) {
+            Attempt attempt = engines.start(engine, query, giveUpAt, ending);
+            Stop here = stop;
+            if (here != null) {
+                loop.execute(here::passed); // the dial is begun by a task that stands before this one
+            }
+            return attempt;
+        }
+    }
+
+    /** Tells a change of the list, in which engines were started at that Unix second, and returns at once. */
+    public void tell(RosterKind kind, double startedAt, Stage stage, Map<Integer, StubEngine> engines) {
+        List<Member> members = engines.entrySet().stream().map(e -> new Member(new Engine(
+                new EngineId(e.getKey()), 0, 0, 0, stage, 1, startedAt), e.getValue().address())).toList();
+        loop.execute(() -> gateway.roster(kind, members));
+    }
 }
--- /dev/null
+++ b/src/test/java/junipercourse/core/FirstByteTest.java
@@ -0,0 +1,234 @@
+package junipercourse.core;
+
+import static junipercourse.TestBench.FAILED;
+import static junipercourse.TestBench.GIVEN_UP;
+import static junipercourse.TestBench.OK;
+import static junipercourse.TestBench.query;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import junipercourse.TestBench;
+import junipercourse.TestBench.Client;
+import junipercourse.TestBench.Stop;
+import junipercourse.TestBench.StubEngine;
+import junipercourse.core.Counters.Count;
+import junipercourse.decision.DispatchApi.RosterKind;
+import junipercourse.decision.DispatchApi.Stage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What comes between the decision to send and the first byte; the loop's turn is held in between. */
+class FirstByteTest {
+    private static final String SERVED = "T D(a b c) C(SELECT 1)";
+    /** A hold this long is a stall to the loop; one much shorter is none. */
+    private static final long STALL_MS = 200;
+    private final TestBench bench;
+
+    FirstByteTest() throws Exception {
+        bench = new TestBench(TestBench.CONFIG.replace("\"dial_timeout_s\":0.25", "\"dial_timeout_s\":1.5")
+                .replace("\"window_s\":12.0", "\"window_s\":1.0"), 512);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        bench.close();
+    }
+
+    private long count(Count what) {
+        return bench.counters.get(what);
+    }
+
+    private static List<String> posts(StubEngine e) {
+        return e.calls.stream().filter(c -> c.startsWith("POST")).toList();
+    }
+
+    private void awaitUnsent(int attempts) {
+        TestBench.await(() -> count(Count.ENDS_UNSENT) == attempts);
+    }
+
+    /** In one pass, the ends of clients and the connections for their queries come in any order. */
+    @ParameterizedTest
+    @CsvSource({"0,false", "0,true", "200,false", "200,true"})
+    void nothingIsSentForClientsThatLeftWhileTheirConnectionsCameUp(long heldMs, boolean reset)
+            throws Exception {
+        int clients = 8;
+        List<StubEngine> engines = new ArrayList<>();
+        for (int i = 1; i <= 4; i++) {
+            engines.add(bench.engine(i, call -> OK));
+        }
+        List<Client> all = new ArrayList<>();
+        for (int i = 0; i < clients; i++) {
+            all.add(bench.client().start());
+        }
+        Stop read = bench.stop();
+        Stop stop = bench.stopAfterDials(clients);
+        for (int i = 0; i < clients; i++) {
+            all.get(i).write(Client.message(query("check", i + 1, 7000)));
+        }
+        read.goOn();
+        stop.reached();
+        for (Client c : all) {
+            c.socket.setSoLinger(reset, 0);
+            c.close();
+        }
+        TestBench.pause(heldMs);
+        stop.goOn();
+        awaitUnsent(clients);
+        assertEquals(0, engines.stream().mapToLong(e -> e.count("POST")).sum());
+        assertEquals(clients, count(Count.CLIENTS_LEFT));
+    }
+
+    /** After a stall a cancel may lie in the accept queue; its key's next goes on, as after nothing. */
+    @Test
+    void nothingIsSentForACancelThatLiesUnacceptedAndItsKeysNextGoesOn() throws Exception {
+        StubEngine e = bench.engine(1, call -> call.startsWith("DELETE") ? GIVEN_UP : OK);
+        Client first = bench.client().start();
+        Client next = bench.client().start();
+        Stop stop = bench.stopAfterDials(1);
+        first.write(Client.message(query("load", 1, 9000)));
+        stop.reached();
+        TestBench.daemon(first::cancel);
+        next.write(Client.message(query("load", 2, 9000)));
+        TestBench.pause(STALL_MS);
+        stop.goOn();
+        assertEquals("E(57014 canceling statement due to user request)", first.answer());
+        assertEquals(SERVED, next.answer());
+        assertEquals(List.of("POST /fetch 0000000000000002"), posts(e));
+        assertEquals(1, count(Count.ENDS_UNSENT));
+        assertEquals(0, count(Count.ENDS_CANCELLED), "what was not written did not run");
+    }
+
+    /** An engine that drains, is gone, was started again under its id or lost its address to another. */
+    @ParameterizedTest
+    @CsvSource({"drains", "gone", "restarted", "replaced"})
+    void nothingIsSentToAnEngineThatIsNoLongerTheOneItWas(String how) throws Exception {
+        StubEngine e = bench.engine(1, call -> OK);
+        Client client = bench.client().start();
+        Stop stop = bench.stopAfterDials(1);
+        client.write(Client.message(query("load", 1, 7000)));
+        stop.reached();
+        StubEngine other = new StubEngine(call -> OK);
+        double now = System.currentTimeMillis() / 1e3;
+        switch (how) {
+            case "drains" -> bench.tell(RosterKind.DELTA, 0, Stage.DRAINING, Map.of(1, e));
+            case "gone" -> bench.tell(RosterKind.DELTA, 0, Stage.GONE, Map.of(1, e));
+            case "restarted" -> bench.tell(RosterKind.DELTA, now, Stage.READY, Map.of(1, e));
+            default -> bench.tell(RosterKind.FULL, 0, Stage.READY, Map.of(2, e));
+        }
+        boolean stays = how.equals("restarted") || how.equals("replaced");
+        if (!stays) {
+            bench.tell(RosterKind.DELTA, 0, Stage.READY, Map.of(2, other));
+        }
+        stop.goOn();
+        assertEquals(SERVED, client.answer());
+        assertEquals(1, count(Count.ENDS_UNSENT), "the attempt for the old one");
+        assertEquals(stays ? 1 : 0, e.count("POST"));
+        assertEquals(stays ? 0 : 1, other.count("POST"));
+        other.close();
+    }
+
+    /** A repeat's first byte leaves inside the window or not at all, whenever the repeat was decided. */
+    @Test
+    void aRepeatWhoseConnectionCameUpTooLateForItsWindowIsNotSent() throws Exception {
+        StubEngine one = bench.engine(1, call -> FAILED);
+        StubEngine two = bench.engine(2, call -> FAILED);
+        Client client = bench.client().start();
+        Stop stop = bench.stopAfterDials(2);
+        client.write(Client.message(query("load", 1, 9000)));
+        stop.reached();
+        TestBench.pause(1100);
+        stop.goOn();
+        assertTrue(client.answer().startsWith("E(53"));
+        assertEquals(1, one.count("POST") + two.count("POST"));
+        assertEquals(1, count(Count.ENDS_UNSENT));
+    }
+
+    /** An attempt's first byte leaves while there is time for its answer, or not at all. */
+    @Test
+    void aQueryWhoseTimeIsUpWhenItsConnectionIsUpIsNotSent() throws Exception {
+        StubEngine e = bench.engine(1, call -> OK);
+        Client client = bench.client().start();
+        Stop stop = bench.stopAfterDials(1);
+        client.write(Client.message(query("check", 1, 800)));
+        stop.reached();
+        TestBench.pause(900);
+        stop.goOn();
+        assertTrue(client.answer().startsWith("E(5"));
+        awaitUnsent(1);
+        assertEquals(0, e.count("POST"));
+    }
+
+    /** A query that waits for room, or for its key's turn, is not sent for a client that left meanwhile. */
+    @ParameterizedTest
+    @CsvSource({"check", "load"})
+    void nothingIsSentForAClientThatLeftWhileItsQueryWaited(String kind) throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (TestBench narrow = new TestBench(1)) {
+            StubEngine e = narrow.engine(1, call -> {
+                TestBench.await(() -> answer.getCount() == 0);
+                return OK;
+            });
+            Client first = narrow.client().start();
+            Client second = narrow.client().start();
+            Client third = narrow.client().start();
+            first.write(Client.message(query(kind, 1, 7000)));
+            TestBench.await(() -> e.count("POST") == 1);
+            second.write(Client.message(query(kind, 2, 7000)));
+            TestBench.await(() -> narrow.counters.get(Count.QUERIES_TAKEN) == 2);
+            Stop stop = narrow.stop();
+            answer.countDown(); // the answer and the client's end are found in one pass
+            second.close();
+            stop.goOn();
+            assertEquals(SERVED, first.answer());
+            assertEquals(SERVED, third.ask(query(kind, 3, 7000)));
+            assertEquals(List.of("POST /fetch 0000000000000001", "POST /fetch 0000000000000003"), posts(e));
+        }
+    }
+
+    /** A connection that comes up within the settings' time is used, later than an answer may take. */
+    @Test
+    void aQueryIsSentOnAConnectionThatCameUpLate() throws Exception {
+        AtomicInteger posts = new AtomicInteger();
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> waiting = new ArrayList<>();
+            for (int i = 0; i < 2; i++) {
+                waiting.add(new Socket(full.getInetAddress(), full.getLocalPort()));
+            }
+            bench.list(1, (InetSocketAddress) full.getLocalSocketAddress(), Stage.READY);
+            Client client = bench.client().start();
+            Stop stop = bench.stopAfterDials(1);
+            client.write(Client.message(query("check", 1, 7000)));
+            stop.reached();
+            stop.goOn();
+            TestBench.pause(700); // its first SYN is lost in the full queue; the system's next is 1 s later
+            TestBench.daemon(() -> {
+                while (true) {
+                    Socket s = full.accept();
+                    TestBench.daemon(() -> {
+                        if (s.getInputStream().read() >= 0) {
+                            posts.incrementAndGet();
+                            s.getOutputStream().write(OK.getBytes());
+                        }
+                    });
+                }
+            });
+            assertEquals(SERVED, client.answer());
+            assertEquals(1, posts.get());
+            assertEquals(1, count(Count.ATTEMPTS_SENT));
+            for (Socket s : waiting) {
+                s.close();
+            }
+        }
+    }
+}
