--- a/src/main/java/junipercourse/engine/EngineCall.java
+++ b/src/main/java/junipercourse/engine/EngineCall.java
@@ -46,18 +46,20 @@
         this.listener = listener;
     }
 
+    /** Until its first byte it is given up by this. */
     void dialing(Runnable stop) {
         stopDialing = stop;
     }
 
     /** Writes the call on a connection, or closes that. */
     void run(EngineConnection connection) {
-        stopDialing = null;
-        if (!wanted || !listener.mayWrite()) {
+        stopDialing = connection::close;
+        if (!wanted || !connection.isOpen() || !listener.mayWrite()) {
             connection.close();
             takenBack();
             return;
         }
+        stopDialing = null;
         on = connection;
         connection.write(this, request);
     }
