End every client's connection by one lingering close, and count its descriptor until it is closed

Cause: Session.fatal closed right after its last words: over unread bytes that resets the connection and takes the error text with it. With bytes still unsent it gave the descriptor back in the count a second before it was closed. makeRoom looked for a query, then took that way; only idle closes looked and closed in one step.

Change: Link.linger is the one way: last words, our end shut in the same call (TCP FIN), then what comes is read and thrown away, never parsed, until the client ends or 1 s or 1 MB has passed. Places owns sessions, connections on their way out and the descriptors of both: as many as the lobby holds may linger, the oldest is closed for the next and whenever all places are used, so that newcomers do not wait. Terminate and CancelRequest end in order, too.

--- a/src/main/java/junipercourse/net/Link.java
+++ b/src/main/java/junipercourse/net/Link.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.function.Consumer;
 import junipercourse.liveness.Arrival;
 import org.tinylog.Logger;
 import org.xnio.IoUtils;
@@ -41,7 +42,6 @@
     private final ByteBuffer input;
     private final OutputQueue unsent;
     private boolean closed;
-    private boolean closing;
     private double unreadSince = Double.NaN;
     private double doubtedAt;
     private Arrival arrival;
@@ -152,7 +152,7 @@
 
     /** Queues bytes for the peer and sends what it takes now. The array is not to be changed afterwards. */
     public void write(byte[] bytes) {
-        if (closed || closing) {
+        if (closed) {
             return;
         }
         unsent.add(bytes);
@@ -179,9 +179,6 @@
                 return;
             }
             sink.suspendWrites();
-            if (closing) {
-                close();
-            }
         } catch (IOException e) {
             // Told through the reading side's turn: a caller in the middle of its work is not called back.
             unsent.clear();
@@ -189,24 +186,17 @@
         }
     }
 
-    /** Closes once all that was written has gone out. */
-    public void closeAfterFlush() {
-        closing = true;
-        source.suspendReads();
-        if (unsent.isEmpty()) {
-            close();
-        }
-    }
-
     /**
-     * Says goodbye and closes in one step, for use right after {@link #poll}: whatever this process does in
-     * between, or is kept from doing by a stop, is time in which a query may come that nobody would read.
+     * Ends the connection in order, with last words; the handler hears nothing more. For use right after
+     * {@link #poll}: whatever this process does in between, or is kept from doing by a stop, is time in which
+     * a query may come that nobody would read.
      */
-    public void closeNow(byte[] goodbye) {
-        write(goodbye);
-        if (shut()) {
-            closeQuietly(connection);
+    public Lingering linger(byte[] goodbye, Consumer<Lingering> gone) {
+        shut();
+        if (goodbye.length > 0) {
+            unsent.add(goodbye);
         }
+        return new Lingering(loop, connection, unsent, gone);
     }
 
     /**
--- a/src/main/java/junipercourse/pg/Conversation.java
+++ b/src/main/java/junipercourse/pg/Conversation.java
@@ -17,6 +17,7 @@
 final class Conversation implements Reply {
     private static final Pattern SHOW = Pattern.compile("\\s*show\\s+([a-z_]+)\\s*;?\\s*",
             Pattern.CASE_INSENSITIVE);
+    private static final byte[] NOTHING = {};
 
     private final PgFront front;
     private final Session session;
@@ -59,7 +60,7 @@
                 if (packet.cancelled() != null) {
                     front.cancel(packet.cancelled().process(), packet.cancelled().secret());
                 }
-                session.close();
+                session.end(NOTHING);
             }
             case START -> start(packet);
         }
@@ -78,7 +79,7 @@
     private void message(MessageReader.Message m) {
         switch (m.type()) {
             case 'Q' -> query(m.body());
-            case 'X' -> session.close();
+            case 'X' -> session.end(NOTHING);
             case 'H', 'S' -> {
                 if (m.type() == 'S') {
                     say(new MessageWriter());
--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -3,14 +3,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.util.Comparator;
 import java.util.SplittableRandom;
-import java.util.function.ToDoubleFunction;
 import junipercourse.core.Counters;
 import junipercourse.core.Counters.Count;
 import junipercourse.core.Gateway;
 import junipercourse.core.Shows;
-import junipercourse.core.Slots;
 import junipercourse.decision.DispatchApi.Settings;
 import junipercourse.net.Descriptors;
 import junipercourse.net.Loop;
@@ -19,10 +16,7 @@
 
 /** The front for clients that speak the PostgreSQL wire protocol. */
 public final class PgFront {
-    private static final int LOBBY_MOST = 24; // places from which clients are only told that there is none
-    private static final int LOBBY_PART = 8; // of all places, where that is less
     private static final double LOOK_S = 0.1; // between looks for clients that have had their time
-    private static final double FRESH_S = 0.25; // a client that means to ask does so well within this
     private static final double IDLE_MOST_S = 8.0; // clients close what is idle for half as long
     private static final double IDLE_CROWDED_S = 0.5; // while clients have opened about all that they may
     private static final double IDLE_BESIDE_S = 0.25; // while another process shares what clients may open
@@ -33,18 +27,15 @@
     private final Counters counters;
     private final QueryReader reader;
     private final SplittableRandom random;
-    private final int mostClients;
-    private final int lobby;
     private final double maxRetryAfter;
-    private final Descriptors.Share share;
+    private final Places places;
     private final Shows shows;
-    private final Slots<Session> sessions = new Slots<>();
-    private final long mostInput;
     private AcceptingChannel<StreamConnection> server;
     private boolean sharesSocket;
     private boolean beside;
     private Runnable whenEmpty;
     private boolean ending;
+    private final long mostInput;
     private long input;
 
     /**
@@ -58,23 +49,21 @@
         this.gateway = gateway;
         this.counters = counters;
         this.reader = new QueryReader(settings);
-        this.share = share;
+        this.places = new Places(loop, share);
         this.shows = shows;
-        this.mostClients = share.most();
-        this.lobby = Math.max(1, Math.min(LOBBY_MOST, mostClients / LOBBY_PART));
         this.maxRetryAfter = settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0;
         this.mostInput = mostInput;
         this.random = new SplittableRandom(seed);
     }
 
     public void listen(InetSocketAddress address) throws IOException {
-        server = loop.listen(address, mostClients, this::accepted);
+        server = loop.listen(address, places.most(), this::accepted);
         loop.after(LOOK_S, this::lookAround);
     }
 
     /** Listens on a socket that others accept from, too. */
     public void listen(ServerSocketChannel shared) throws IOException {
-        server = loop.listen(shared, mostClients, this::accepted);
+        server = loop.listen(shared, places.most(), this::accepted);
         sharesSocket = true;
         loop.after(LOOK_S, this::lookAround);
     }
@@ -89,7 +78,7 @@
 
     /** Whether a client has not taken all of what was written to it. */
     public boolean unsent() {
-        return sessions.all().stream().anyMatch(Session::unsent);
+        return places.unsent() || places.sessions().stream().anyMatch(Session::unsent);
     }
 
     /** Whether other processes accept from the same socket. */
@@ -111,16 +100,16 @@
 
     /** One look at all sessions in place of a deadline for each, which would keep those that have left. */
     private void lookAround() {
-        if (whenEmpty != null && sessions.size() == 0) {
+        if (whenEmpty != null && places.size() == 0) {
             whenEmpty.run();
             return;
         }
         loop.after(LOOK_S, this::lookAround); // first of all, so that no fault in this look makes it the last
         double now = loop.attended();
-        for (Session s : sessions.all()) {
+        for (Session s : places.sessions()) {
             // Guards clients, which open no more than a third of the descriptors, against running out of
             // connections because some hold theirs for good: what is idle gives way in time.
-            boolean crowded = sessions.size() > mostClients / 2;
+            boolean crowded = places.size() > places.most() / 2;
             s.expire(now, whenEmpty != null ? CROSSING_S : beside ? IDLE_BESIDE_S
                     : crowded ? IDLE_CROWDED_S : IDLE_MOST_S);
         }
@@ -131,56 +120,13 @@
     }
 
     private void accepted(StreamConnection connection) {
-        while (sessions.size() >= mostClients - lobby && makeRoom()) {
-            continue; // each round closes one, or finds that it has asked
-        }
         Session session = new Session(connection, this, random.nextInt());
-        if (sessions.size() >= mostClients - lobby) {
-            session.toLobby();
-        } else {
+        if (places.room()) {
             counters.add(Count.CLIENTS_ACCEPTED);
+        } else {
+            session.toLobby();
         }
-        session.slot = sessions.add(session);
-        share.hold();
-        full();
-    }
-
-    /**
-     * While no more are accepted, others may have been there for long without being seen. The acceptor
-     * counts a connection until its descriptor is closed.
-     */
-    private void full() {
-        loop.backlog(share.open() + share.closingNow() >= mostClients);
-    }
-
-    /**
-     * Guards the clients that ask against those that only hold connections: closes the one that has been
-     * there for longest without ever asking, or else the one that has been idle for longest. False if there
-     * is none whose time is up: a client that waits for its answer is never closed for one that comes.
-     */
-    private boolean makeRoom() {
-        double now = loop.attended();
-        Session silent = longest(Session::silentSince);
-        Session idle = longest(Session::idleSince);
-        if (silent != null && silent.silentSince() < now - FRESH_S) {
-            silent.poll();
-            if (silent.silentSince() < now - FRESH_S) {
-                silent.fatal("57P05", "closed without a query, to make room");
-            }
-            return true;
-        }
-        if (idle != null && idle.idleSince() < now - CROSSING_S) {
-            idle.poll();
-            if (idle.idleSince() < now - CROSSING_S) {
-                idle.fatal("57P05", "closed after being idle, to make room");
-            }
-            return true;
-        }
-        return false;
-    }
-
-    private Session longest(ToDoubleFunction<Session> since) {
-        return sessions.all().stream().min(Comparator.comparingDouble(since)).orElse(null);
+        places.take(session);
     }
 
     /** From now on queries are refused. The task runs once all that have connected are sessions of ours. */
@@ -205,7 +151,7 @@
     /** A CancelRequest: the session's number and its secret must both be right. */
     void cancel(int process, int secret) {
         counters.add(Count.CLIENTS_CANCELLED);
-        Session session = sessions.find(process);
+        Session session = places.find(process);
         if (session != null && session.secret == secret) {
             session.cancelled();
         }
@@ -217,14 +163,8 @@
         return input <= mostInput;
     }
 
-    /** The one place where a session's slot is given back. */
-    void left(Session session) {
-        sessions.remove(session.slot);
-        share.closing();
-        loop.execute(() -> { // the link has queued its close before; the acceptor looks only after that
-            share.gone();
-            full();
-        });
+    Places places() {
+        return places;
     }
 
     Shows shows() {
--- /dev/null
+++ b/src/main/java/junipercourse/pg/Places.java
@@ -0,0 +1,139 @@
+package junipercourse.pg;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+import junipercourse.core.Slots;
+import junipercourse.net.Descriptors;
+import junipercourse.net.Link;
+import junipercourse.net.Lingering;
+import junipercourse.net.Loop;
+
+/**
+ * The places that clients' connections hold: of sessions, and of those that we have ended and whose clients
+ * have not. A place is given back in {@link #closed} alone, when its descriptor is.
+ */
+final class Places {
+    private static final int LOBBY_MOST = 24; // places from which clients are only told that there is none
+    private static final int LOBBY_PART = 8; // of all places, where that is less
+    private static final double FRESH_S = 0.25; // a client that means to ask does so well within this
+    private static final double CROSSING_S = 0.06; // a query that crosses a close within 50 ms comes again
+
+    private final Loop loop;
+    private final Descriptors.Share share;
+    private final int most;
+    private final int lobby;
+    private final Slots<Session> sessions = new Slots<>();
+    private final ArrayDeque<Lingering> lingering = new ArrayDeque<>();
+
+    Places(Loop loop, Descriptors.Share share) {
+        this.loop = loop;
+        this.share = share;
+        this.most = share.most();
+        this.lobby = Math.max(1, Math.min(LOBBY_MOST, most / LOBBY_PART));
+    }
+
+    int most() {
+        return most;
+    }
+
+    List<Session> sessions() {
+        return sessions.all();
+    }
+
+    /** How many sessions there are. */
+    int size() {
+        return sessions.size();
+    }
+
+    Session find(int process) {
+        return sessions.find(process);
+    }
+
+    /** Whether a client whose connection we have ended has not been sent all that it was to get. */
+    boolean unsent() {
+        return lingering.stream().anyMatch(Lingering::unsent);
+    }
+
+    /** Makes room for one that comes, if that can be; false if it is only to be told that there is none. */
+    boolean room() {
+        while (sessions.size() >= most - lobby && makeRoom()) {
+            continue; // each round closes one, or finds that it has asked
+        }
+        return sessions.size() < most - lobby;
+    }
+
+    /** Takes one that has been accepted. */
+    void take(Session session) {
+        session.slot = sessions.add(session);
+        share.hold();
+        if (share.open() >= most && !lingering.isEmpty()) { // it keeps the next from being accepted
+            lingering.peek().close();
+        }
+        full();
+    }
+
+    /**
+     * While no more are accepted, others may have been there for long without being seen. The acceptor
+     * counts a connection until its descriptor is closed.
+     */
+    private void full() {
+        loop.backlog(share.open() + share.closingNow() >= most);
+    }
+
+    /**
+     * Guards the clients that ask against those that only hold connections: closes the one that has been
+     * there for longest without ever asking, or else the one that has been idle for longest. False if there
+     * is none whose time is up: a client that waits for its answer is never closed for one that comes.
+     */
+    private boolean makeRoom() {
+        double now = loop.attended();
+        Session silent = longest(Session::silentSince);
+        Session idle = longest(Session::idleSince);
+        if (silent != null && silent.silentSince() < now - FRESH_S) {
+            silent.poll();
+            if (silent.silentSince() < now - FRESH_S) {
+                silent.fatal("57P05", "closed without a query, to make room");
+            }
+            return true;
+        }
+        if (idle != null && idle.idleSince() < now - CROSSING_S) {
+            idle.poll();
+            if (idle.idleSince() < now - CROSSING_S) {
+                idle.fatal("57P05", "closed after being idle, to make room");
+            }
+            return true;
+        }
+        return false;
+    }
+
+    private Session longest(ToDoubleFunction<Session> since) {
+        return sessions.all().stream().min(Comparator.comparingDouble(since)).orElse(null);
+    }
+
+    /** The one place where a session's slot is given back. */
+    void left(Session session) {
+        sessions.remove(session.slot);
+    }
+
+    /** Ends a session's connection in order. As many as the lobby holds may be on their way out at once. */
+    void linger(Link link, byte[] goodbye) {
+        lingering.add(link.linger(goodbye, over -> {
+            lingering.remove(over);
+            closed();
+        }));
+        if (lingering.size() > lobby) {
+            lingering.peek().close();
+        }
+    }
+
+    /** A connection's close is queued: the one place where its descriptor is given back. */
+    void closed() {
+        share.closing();
+        loop.execute(() -> { // the close has been queued before; the acceptor looks only after that
+            share.gone();
+            full();
+        });
+    }
+}
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -15,7 +15,6 @@
     private static final int SMALL = 4 * 1024; // a usual query: never closed for what others send
     private static final int MOST_AHEAD = 16 * 1024; // held of a client that writes on while it waits
     private static final int MOST_UNSENT = 64 * 1024; // of answers that a client does not read
-    private static final double GOODBYE_S = 1.0; // for a client to read why it is closed
     private static final double LOBBY_S = 0.3; // for one that finds no place, until its start-up packet
     private static final double FIRST_QUERY_S = 2.4; // from connecting until the first query is whole
     private static final double MESSAGE_S = 2.0; // from a later message's first byte to its last
@@ -89,8 +88,7 @@
             link.poll();
             boolean inTheMiddle = link.unsentBytes() > 0 || in.held() > 0; // of an answer, or of a query
             if (now > idleSince() + mostIdle && !inTheMiddle) {
-                link.closeNow(goodbye("57P05", "closed after being idle"));
-                leave();
+                fatal("57P05", "closed after being idle");
             }
         }
     }
@@ -173,14 +171,9 @@
         front.loop().execute(this::work); // a next query may have come already
     }
 
-    /** Says why, closes, and does not wait long for a client that does not read it. */
+    /** Says why, and ends the session. */
     void fatal(String code, String why) {
-        link.write(goodbye(code, why));
-        link.closeAfterFlush();
-        if (!link.isClosed()) {
-            front.loop().after(GOODBYE_S, link::close);
-        }
-        leave();
+        end(goodbye(code, why));
     }
 
     private static byte[] goodbye(String code, String why) {
@@ -189,6 +182,18 @@
 
     // ---- the end ----
 
+    /**
+     * Ends the session by us, in order: last words, the end of what we send, and what the client sends until
+     * it has ended, too, is thrown away. That comes first of all, so that nothing lies between the last look
+     * for a query ({@link #poll}) and this.
+     */
+    void end(byte[] lastWords) {
+        if (!left) {
+            front.places().linger(link, lastWords);
+            leave();
+        }
+    }
+
     @Override
     public void crashed() {
         front.counters().add(Count.INTERNAL_ERRORS);
@@ -197,22 +202,23 @@
 
     @Override
     public void disconnected() {
-        leave();
+        if (!left) {
+            front.places().closed();
+            leave();
+        }
     }
 
-    void close() {
+    /** Closes at once, for a client that takes nothing any more. */
+    private void close() {
         link.close();
-        leave();
+        disconnected();
     }
 
     /** The one way out: gives back what is held, the open query and the slot, once. */
     private void leave() {
-        if (left) {
-            return;
-        }
         left = true;
         front.holds(-heldBefore);
         conversation.end();
-        front.left(this);
+        front.places().left(this);
     }
 }
--- a/src/test/java/junipercourse/pg/ClosingTest.java
+++ b/src/test/java/junipercourse/pg/ClosingTest.java
@@ -2,18 +2,24 @@
 
 import static junipercourse.TestBench.query;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import junipercourse.TestBench;
 import junipercourse.TestBench.Client;
 import junipercourse.TestBench.StubEngine;
+import junipercourse.core.Counters;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Closes by either side that cross something else; the dispatcher's thread is held to force it. */
 class ClosingTest {
+    private static final String SERVED = "T D(a b c) C(SELECT 1)";
     private static final String ENDING = "E(57P03 the dispatcher is shutting down)";
     private final TestBench bench;
     private StubEngine engine;
@@ -56,4 +62,81 @@
         }
         assertEquals(0, engine.count("POST"));
     }
+
+    // ---- closes of ours ----
+
+    /** Much that is no message, an over-long one, one of a kind that is not spoken, and nothing read before. */
+    @ParameterizedTest
+    @CsvSource({"start 51ffffffff, 08P01 a message of 4294967295 bytes",
+        "start 0000000000, 08P01 a message of 0 bytes",
+        "start 5000000004, '0A000 only simple queries are taken here, no message of type 80'",
+        "7fffffff00030000, 08P01 a message of 2147483647 bytes",
+        "474554202f20485454502f312e31, 08P01 a message of 1195725856 bytes"})
+    void whoSendsMuchThatIsNoMessageReadsWhyAndAnEnd(String hex, String why) throws Exception {
+        Client client = bench.client();
+        if (hex.startsWith("start")) {
+            client.start();
+        }
+        Runnable release = bench.hold();
+        TestBench.daemon(() -> client.write(HexFormat.of().parseHex(hex.replace("start ", "")),
+                new byte[300_000]));
+        TestBench.pause(50); // more than one read's worth lies there
+        release.run();
+        assertEquals("E(" + why + ") closed=true", client.answer());
+        assertEquals(SERVED, bench.client().start().ask(query("check", 1, 5000)));
+    }
+
+    /** What comes after our end of the connection is thrown away, and holds one descriptor for a second. */
+    @Test
+    void whatIsSentAfterOurCloseReachesNoEngine() throws Exception {
+        int before = bench.descriptors.used();
+        Client client = bench.client().start();
+        client.write(HexFormat.of().parseHex("5000000004"));
+        assertTrue(client.answer().endsWith("closed=true"));
+        client.write(Client.message(query("check", 1, 5000)));
+        assertEquals(before + 1, bench.descriptors.used(), "it counts as a client's until it is closed");
+        assertEquals(-1, client.socket.getInputStream().read(), "no reset");
+        TestBench.await(() -> bench.descriptors.used() == before, 3000);
+        assertEquals(0, engine.count("POST"));
+    }
+
+    /** An end without a word of ours is told at once, too: of three, none waits for the bound of a second. */
+    @Test
+    void aCancelRequestIsClosedAtOnce() throws Exception {
+        Client client = bench.client().start();
+        long from = System.nanoTime();
+        for (int i = 0; i < 3; i++) {
+            client.cancel();
+        }
+        assertTrue(System.nanoTime() - from < 2_500_000_000L);
+    }
+
+    /** One that sends on and on costs bounded bytes: it is cut off. */
+    @Test
+    void whoNeverStopsSendingIsCutOff() throws Exception {
+        int before = bench.descriptors.used();
+        Client client = bench.client().start();
+        client.write(HexFormat.of().parseHex("51ffffffff"));
+        TestBench.daemon(() -> {
+            while (true) {
+                client.write(new byte[100_000]);
+            }
+        });
+        TestBench.await(() -> bench.descriptors.used() == before);
+    }
+
+    /** Connections that we have ended and their clients keep open leave room for those that ask. */
+    @Test
+    void connectionsOnTheirWayOutMakeRoom() throws Exception {
+        for (int i = 0; i < TestBench.MOST_CLIENTS * 2; i++) {
+            Client bad = bench.client();
+            bad.write(HexFormat.of().parseHex("7fffffff00030000"));
+            if (i % 40 == 39) {
+                assertEquals(SERVED, bench.client().start().ask(query("check", i, 5000)));
+            }
+        }
+        assertEquals(0, bench.counters.get(Counters.Count.CLIENTS_TURNED_AWAY));
+        assertTrue(bench.descriptors.shares().stream().filter(s -> s.name().equals("clients"))
+                .allMatch(s -> s.peak() <= s.most()), bench.descriptors.toString());
+    }
 }
