End all sessions in order before the process exits, and refuse what lies unread on them

Cause: Ending let the process exit 50 ms after the last answer, with sessions open. A client at rest was just cut off; one that had sent bytes which were not read was reset, and its last answer could go with that.

Change: once nothing is open, each session is read once more (a query there is refused with 57P03 before any row), told FATAL 57P03 and ended by the lingering close. 57P03, since a query that crosses it reads it as its answer, and only that class says that trying again is harmless. The process exits when all connections are closed, or 0.1 s later, or 0.3 s where a client is still taking its answer: within the half second before SIGKILL.

ClosingTest: a query that crosses the last close, with the loop held, is refused and reaches no engine.

--- a/src/main/java/junipercourse/cli/Ending.java
+++ b/src/main/java/junipercourse/cli/Ending.java
@@ -24,8 +24,11 @@
     /** For the last bytes on their way to clients and for the end of the JVM. */
     private static final double MARGIN_S = 0.5;
     private static final double HAND_OVER_S = 0.1;
-    private static final double LAST_BYTES_S = 0.05;
-    private static final double LAST_BYTES_MOST_S = 0.3;
+    private static final double LOOK_S = 0.02;
+    /** For clients to end their connections once we have: a query crosses that within 50 ms. */
+    private static final double LINGER_S = 0.1;
+    /** For clients to take what is left of their answers. */
+    private static final double LAST_BYTES_S = 0.3;
 
     private final Loop loop;
     private final Gateway gateway;
@@ -84,17 +87,18 @@
     }
 
     private void untilIdle() {
-        front.end(() -> gateway.whenIdle(() -> lastBytes(LAST_BYTES_MOST_S)));
+        front.end(() -> gateway.whenIdle(() -> loop.execute(() -> { // behind sessions' work on what they hold
+            front.endSessions();
+            lastBytes(0);
+        })));
     }
 
-    /** Guards answers that their clients are still taking against the end of the process. */
-    private void lastBytes(double most) {
-        loop.after(LAST_BYTES_S, () -> {
-            if (front.unsent() && most > 0) {
-                lastBytes(most - LAST_BYTES_S);
-            } else {
-                done.countDown();
-            }
-        });
+    /** Guards what clients are still taking, and bytes of theirs on the way, against the process's end. */
+    private void lastBytes(double waited) {
+        if (front.empty() || waited >= (front.unsent() ? LAST_BYTES_S : LINGER_S)) {
+            done.countDown();
+        } else {
+            loop.after(LOOK_S, () -> lastBytes(waited + LOOK_S));
+        }
     }
 }
--- a/src/main/java/junipercourse/pg/Conversation.java
+++ b/src/main/java/junipercourse/pg/Conversation.java
@@ -112,7 +112,7 @@
             return;
         }
         if (front.ending()) { // what comes this late may not be finished; elsewhere it does no harm
-            say(error("57P03", "the dispatcher is shutting down"));
+            say(error("57P03", PgFront.SHUTTING_DOWN));
             return;
         }
         Query query;
--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -22,6 +22,8 @@
     private static final double IDLE_BESIDE_S = 0.25; // while another process shares what clients may open
     private static final double CROSSING_S = 0.06; // a query that crosses a close within 50 ms comes again
 
+    static final String SHUTTING_DOWN = "the dispatcher is shutting down";
+
     private final Loop loop;
     private final Gateway gateway;
     private final Counters counters;
@@ -76,9 +78,14 @@
         beside = another;
     }
 
-    /** Whether a client has not taken all of what was written to it. */
+    /** Whether a client whose session has ended has not been sent all that it was to get. */
     public boolean unsent() {
-        return places.unsent() || places.sessions().stream().anyMatch(Session::unsent);
+        return places.unsent();
+    }
+
+    /** Whether all connections of clients are closed. */
+    public boolean empty() {
+        return places.empty();
     }
 
     /** Whether other processes accept from the same socket. */
@@ -139,6 +146,14 @@
         }
     }
 
+    /** Ends all sessions in order; a query that lies unread on one is refused before, after {@link #end}. */
+    public void endSessions() {
+        for (Session s : places.sessions()) {
+            s.poll();
+            s.fatal("57P03", SHUTTING_DOWN);
+        }
+    }
+
     boolean ending() {
         return ending;
     }
--- a/src/main/java/junipercourse/pg/Places.java
+++ b/src/main/java/junipercourse/pg/Places.java
@@ -51,6 +51,11 @@
         return sessions.find(process);
     }
 
+    /** Whether all connections are closed. */
+    boolean empty() {
+        return share.open() == 0;
+    }
+
     /** Whether a client whose connection we have ended has not been sent all that it was to get. */
     boolean unsent() {
         return lingering.stream().anyMatch(Lingering::unsent);
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -93,11 +93,6 @@
         }
     }
 
-    /** Whether some of what was written still waits for the client to take it. */
-    boolean unsent() {
-        return link.unsentBytes() > 0;
-    }
-
     /** Guards a query that has come and was not read yet against the close of its idle session. */
     void poll() {
         link.poll();
--- a/src/test/java/junipercourse/cli/ShutdownTest.java
+++ b/src/test/java/junipercourse/cli/ShutdownTest.java
@@ -18,6 +18,7 @@
 /** What clients see of a whole process that ends, with engines that never do and 1.5 s as longest deadline. */
 class ShutdownTest {
     private static final double KILL_S = 1.5 + 0.7;
+    private static final String GONE = "E(57P03 the dispatcher is shutting down) closed=true";
     @TempDir
     private Path folder;
     private Engines engines;
@@ -59,4 +60,40 @@
             assertTrue(process.endsWithin(1), process.log());
         }
     }
+
+    /** One that rests, one that never asked, and one in the middle of a query: told, and ended in order. */
+    @Test
+    void sessionsWithoutAnOpenQueryAreEndedInOrder() throws Exception {
+        try (Client rests = new Client(front); Client silent = new Client(front);
+                Client half = new Client(front)) {
+            assertEquals("I", rests.start().ask(" "));
+            silent.start();
+            half.start().write(new byte[] {'Q', 0, 0, 0, 99, 'S'});
+            process.signal("TERM");
+            assertEquals(GONE, rests.answer());
+            assertEquals(GONE, silent.answer());
+            assertEquals(GONE, half.answer());
+            assertTrue(process.endsWithin(1), process.log());
+        }
+    }
+
+    /** Bytes that a client sends while its query is open are no reason to cut its answer short by a reset. */
+    @Test
+    void aClientThatSentMoreThanItsQueryReadsItsAnswerAndAnEnd() throws Exception {
+        try (Client busy = new Client(front)) {
+            busy.start().write(Client.message(TestBench.query("check", 1, 1500)));
+            TestBench.await(() -> engines.attempts("") == 1);
+            process.signal("TERM");
+            TestBench.await(() -> process.log().contains("asked to end"));
+            TestBench.pause(450);
+            busy.write(Client.message(TestBench.query("check", 2, 1500)), new byte[30_000]);
+            String first = busy.answer();
+            assertTrue(first.startsWith("E(5"), first);
+            String next = busy.answer(); // the second query, refused before any row
+            assertEquals("E(57P03 the dispatcher is shutting down)", next);
+            String last = busy.answer();
+            assertTrue(last.endsWith("closed=true"), last);
+            assertTrue(process.endsWithin(1), process.log());
+        }
+    }
 }
--- a/src/test/java/junipercourse/pg/ClosingTest.java
+++ b/src/test/java/junipercourse/pg/ClosingTest.java
@@ -63,6 +63,25 @@
         assertEquals(0, engine.count("POST"));
     }
 
+    /** At the end all sessions are ended in order, after a look for what came on them meanwhile. */
+    @Test
+    void aQueryThatCrossesTheLastCloseIsRefused() throws Exception {
+        Client asks = bench.client().start();
+        Client rests = bench.client().start();
+        assertEquals("I", rests.ask(" "));
+        Runnable release = bench.hold();
+        bench.behind(front -> {
+            front.end(() -> { });
+            front.endSessions();
+        });
+        asks.write(Client.message(query("check", 1, 5000)));
+        release.run();
+        assertEquals(ENDING, asks.answer());
+        assertEquals(ENDING + " closed=true", asks.answer());
+        assertEquals(ENDING + " closed=true", rests.answer());
+        assertEquals(0, engine.count("POST"));
+    }
+
     // ---- closes of ours ----
 
     /** Much that is no message, an over-long one, one of a kind that is not spoken, and nothing read before. */
