Go on reading while a query is open, so that a client that sent much and went is seen to go

Cause: Session.work stopped reading once 16 KB lay ahead of an open query, and so never saw the end of a client that had sent more and left: its query went on being attempted for nobody until its time was over. After a reset too, since a channel without interest hears of none. A session that is not read because its client takes no answers has no query open; once it has one again it is read on as well.

Change: what comes beyond the 16 KB is thrown away. The open query and the whole messages held are answered, then the session ends with 08P01. Beyond 1 MB it ends at once, and its query with it.

Result: ClosingTest, an engine that never ends, 64 KB behind the query, then a FIN or a reset: no DELETE within 1 s before, both; now it comes, and no attempt follows. A client that stays gets both its answers, then the error.

--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -14,6 +14,7 @@
 final class Session implements Link.Handler {
     private static final int SMALL = 4 * 1024; // a usual query: never closed for what others send
     private static final int MOST_AHEAD = 16 * 1024; // held of a client that writes on while it waits
+    private static final int MOST_OVERRUN = 1 << 20; // thrown away of what it writes beyond that
     private static final int MOST_UNSENT = 64 * 1024; // of answers that a client does not read
     private static final double LOBBY_S = 0.3; // for one that finds no place, until its start-up packet
     private static final double FIRST_QUERY_S = 2.4; // from connecting until the first query is whole
@@ -34,6 +35,7 @@
     private Arrival arrival;
     private long unsentBefore;
     private int heldBefore;
+    private long overrun;
     private boolean inLobby;
     private boolean asked;
     private boolean left;
@@ -104,8 +106,31 @@
     public void received(ByteBuffer bytes) {
         idleSince = front.loop().attended();
         arrival = link.arrival();
-        in.add(bytes);
-        work();
+        in.add(ahead(bytes));
+        if (overrun > MOST_OVERRUN) {
+            tooMuchAhead();
+        } else {
+            work();
+        }
+    }
+
+    /**
+     * Of bytes that come while a query is open, those that are held. Reading goes on beyond them, since only
+     * so the client's end is seen and its query given up; what is thrown away costs the session, later.
+     */
+    private ByteBuffer ahead(ByteBuffer bytes) {
+        if (overrun > 0 || conversation.waiting()) {
+            int room = overrun > 0 ? 0 : Math.max(0, MOST_AHEAD - in.held());
+            int over = Math.max(0, bytes.remaining() - room);
+            overrun += over;
+            bytes.limit(bytes.limit() - over);
+        }
+        return bytes;
+    }
+
+    private void tooMuchAhead() {
+        front.counters().add(Count.CLIENTS_GARBLED);
+        fatal("08P01", "too much was sent ahead of an answer");
     }
 
     private void work() {
@@ -123,8 +148,12 @@
                 fatal("53200", "too much is held for unfinished messages");
                 return;
             }
-            int most = conversation.waiting() ? MOST_AHEAD : MessageReader.MAX_MESSAGE + 5;
-            link.reading(in.held() < most);
+            if (overrun > 0 && !more && !conversation.waiting() && !left) {
+                tooMuchAhead(); // all that was held whole has been answered
+                return;
+            }
+            link.reading(conversation.waiting() || overrun > 0
+                    || in.held() < MessageReader.MAX_MESSAGE + 5);
         } catch (MessageReader.GarbledException e) {
             front.counters().add(Count.CLIENTS_GARBLED);
             fatal("08P01", e.getMessage());
--- a/src/test/java/junipercourse/pg/ClosingTest.java
+++ b/src/test/java/junipercourse/pg/ClosingTest.java
@@ -16,11 +16,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Closes by either side that cross something else; the dispatcher's thread is held to force it. */
 class ClosingTest {
     private static final String SERVED = "T D(a b c) C(SELECT 1)";
     private static final String ENDING = "E(57P03 the dispatcher is shutting down)";
+    /** A client that has left is given this long to be noticed, on a busy machine. */
+    private static final long NOTICED_MS = 1000;
     private final TestBench bench;
     private StubEngine engine;
     private volatile String answer = TestBench.OK;
@@ -158,4 +161,54 @@
         assertTrue(bench.descriptors.shares().stream().filter(s -> s.name().equals("clients"))
                 .allMatch(s -> s.peak() <= s.most()), bench.descriptors.toString());
     }
+
+    // ---- closes of the client's ----
+
+    /** A client that sends much while its query is open and goes is seen to go: its query ends with it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whoSendsMuchAndGoesIsSeenToGo(boolean reset) throws Exception {
+        answer = TestBench.RUNNING;
+        Client client = bench.client().start();
+        client.write(Client.message(query("check", 1, 7000)));
+        TestBench.await(() -> engine.count("POST") == 1);
+        client.write(new byte[64 * 1024]);
+        if (reset) {
+            client.socket.setSoLinger(true, 0);
+        }
+        client.close();
+        TestBench.await(() -> engine.count("DELETE") == 1, NOTICED_MS);
+        assertEquals(1, engine.count("POST"));
+    }
+
+    /** What lies whole before the overrun is answered, then the session ends with an error. */
+    @Test
+    void whoSendsMuchAndStaysIsAnsweredFirst() throws Exception {
+        answer = TestBench.RUNNING;
+        Client client = bench.client().start();
+        client.write(Client.message(query("check", 1, 7000)));
+        TestBench.await(() -> engine.count("POST") == 1);
+        client.write(Client.message(query("check", 2, 7000)), Client.message(" ".repeat(40_000)));
+        answer = TestBench.OK;
+        assertEquals(SERVED, client.answer());
+        assertEquals(SERVED, client.answer());
+        assertEquals("E(08P01 too much was sent ahead of an answer) closed=true", client.answer());
+    }
+
+    /** One that never stops sending loses its query, and is told why. */
+    @Test
+    void whoSendsOnAndOnWhileItsQueryIsOpenIsClosed() throws Exception {
+        answer = TestBench.RUNNING;
+        int before = bench.descriptors.used();
+        Client client = bench.client().start();
+        client.write(Client.message(query("check", 1, 7000)));
+        TestBench.await(() -> engine.count("POST") == 1);
+        TestBench.daemon(() -> {
+            while (true) {
+                client.write(new byte[100_000]);
+            }
+        });
+        TestBench.await(() -> engine.count("DELETE") == 1, NOTICED_MS);
+        TestBench.await(() -> bench.descriptors.used() <= before + 1); // the engine's stays
+    }
 }
