Read what lies on a session before its cancel is carried out

Cause: after a pause of ours a query and the CancelRequest for it may both lie unread. Where the cancel was read first, PgFront.cancel found no open query and dropped it; the query was then begun for a client that had gone.

Change: the session is polled before it is cancelled.

Result: ClosingTest holds the loop, has the cancel carried out before the sockets are looked at: the client got "out of time" at its deadline before, now "canceling statement due to user request", and nothing goes on. A table of open or unread queries, cancels and closes in each order and in one pass: each attempt begun is taken back, none follows; that held before, too.

--- a/src/main/java/junipercourse/pg/PgFront.java
+++ b/src/main/java/junipercourse/pg/PgFront.java
@@ -168,6 +168,7 @@
         counters.add(Count.CLIENTS_CANCELLED);
         Session session = places.find(process);
         if (session != null && session.secret == secret) {
+            session.poll(); // after a pause of ours, the query that it is for may lie there unread
             session.cancelled();
         }
     }
--- a/src/test/java/junipercourse/pg/ClosingTest.java
+++ b/src/test/java/junipercourse/pg/ClosingTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
@@ -22,6 +24,7 @@
 class ClosingTest {
     private static final String SERVED = "T D(a b c) C(SELECT 1)";
     private static final String ENDING = "E(57P03 the dispatcher is shutting down)";
+    private static final String CANCELLED = "E(57014 canceling statement due to user request)";
     /** A client that has left is given this long to be noticed, on a busy machine. */
     private static final long NOTICED_MS = 1000;
     private final TestBench bench;
@@ -211,4 +214,57 @@
         TestBench.await(() -> engine.count("DELETE") == 1, NOTICED_MS);
         TestBench.await(() -> bench.descriptors.used() <= before + 1); // the engine's stays
     }
+
+    // ---- cancels ----
+
+    /** The cancel is read first, while the query that it is for still lies unread. */
+    @Test
+    void aCancelThatIsReadBeforeItsQueryCancelsIt() throws Exception {
+        answer = TestBench.RUNNING;
+        Client client = bench.client().start();
+        Runnable release = bench.hold();
+        bench.behind(front -> front.cancel(client.key().getInt(), client.key().getInt(4)));
+        client.write(Client.message(query("check", 1, 1000)));
+        release.run();
+        assertEquals(CANCELLED, client.answer());
+        nothingGoesOn(engine.count("POST"));
+    }
+
+    /** An open or an unread query, its cancel and its client's close, in each order and in one pass. */
+    @ParameterizedTest
+    @CsvSource({"open cancel close", "open close cancel", "open cancel", "open close",
+        "query cancel close", "query close cancel", "query close"})
+    void whateverOrderAClientLeavesInNothingIsBegunAfterwards(String order) throws Exception {
+        answer = TestBench.RUNNING;
+        Client client = bench.client().start();
+        byte[] query = Client.message(query("check", 1, 7000));
+        Socket other = new Socket(client.socket.getInetAddress(), client.socket.getPort());
+        if (order.startsWith("open")) {
+            client.write(query);
+            TestBench.await(() -> engine.count("POST") == 1);
+        }
+        Runnable release = bench.hold();
+        for (String event : order.split(" ")) {
+            switch (event) {
+                case "query" -> client.write(query);
+                case "cancel" -> other.getOutputStream().write(client.cancelRequest());
+                case "close" -> client.close();
+                default -> { }
+            }
+        }
+        release.run();
+        if (order.endsWith("cancel") && !order.contains("close")) {
+            assertEquals(CANCELLED, client.answer());
+        }
+        TestBench.pause(100);
+        nothingGoesOn(engine.count("POST"));
+        other.close();
+    }
+
+    /** Each attempt that there was is taken back, and none follows. */
+    private void nothingGoesOn(long begun) throws IOException {
+        TestBench.await(() -> engine.count("DELETE") >= begun, NOTICED_MS);
+        TestBench.pause(300);
+        assertEquals(begun, engine.count("POST"));
+    }
 }
