--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -14,8 +14,8 @@
 final class Session implements Link.Handler {
     private static final int SMALL = 4 * 1024; // a usual query: never closed for what others send
     private static final int MOST_AHEAD = 16 * 1024; // held of a client that writes on while it waits
+    private static final int MOST_OVERRUN = 1 << 20; // thrown away of what it writes beyond that
     private static final int MOST_UNSENT = 64 * 1024; // of answers that a client does not read
-    private static final double GOODBYE_S = 1.0; // for a client to read why it is closed
     private static final double LOBBY_S = 0.3; // for one that finds no place, until its start-up packet
     private static final double FIRST_QUERY_S = 2.4; // from connecting until the first query is whole
     private static final double MESSAGE_S = 2.0; // from a later message's first byte to its last
@@ -35,6 +35,7 @@
     private Arrival arrival;
     private long unsentBefore;
     private int heldBefore;
+    private long overrun;
     private boolean inLobby;
     private boolean asked;
     private boolean left;
@@ -89,17 +90,11 @@
             link.poll();
             boolean inTheMiddle = link.unsentBytes() > 0 || in.held() > 0; // of an answer, or of a query
             if (now > idleSince() + mostIdle && !inTheMiddle) {
-                link.closeNow(goodbye("57P05", "closed after being idle"));
-                leave();
+                fatal("57P05", "closed after being idle");
             }
         }
     }
 
-    /** Whether some of what was written still waits for the client to take it. */
-    boolean unsent() {
-        return link.unsentBytes() > 0;
-    }
-
     /** Guards a query that has come and was not read yet against the close of its idle session. */
     void poll() {
         link.poll();
@@ -111,8 +106,31 @@
     public void received(ByteBuffer bytes) {
         idleSince = front.loop().attended();
         arrival = link.arrival();
-        in.add(bytes);
-        work();
+        in.add(ahead(bytes));
+        if (overrun > MOST_OVERRUN) {
+            tooMuchAhead();
+        } else {
+            work();
+        }
+    }
+
+    /**
+     * Of bytes that come while a query is open, those that are held. Reading goes on beyond them, since only
+     * so the client's end is seen and its query given up; what is thrown away costs the session, later.
+     */
+    private ByteBuffer ahead(ByteBuffer bytes) {
+        if (overrun > 0 || conversation.waiting()) {
+            int room = overrun > 0 ? 0 : Math.max(0, MOST_AHEAD - in.held());
+            int over = Math.max(0, bytes.remaining() - room);
+            overrun += over;
+            bytes.limit(bytes.limit() - over);
+        }
+        return bytes;
+    }
+
+    private void tooMuchAhead() {
+        front.counters().add(Count.CLIENTS_GARBLED);
+        fatal("08P01", "too much was sent ahead of an answer");
     }
 
     private void work() {
@@ -130,8 +148,12 @@
                 fatal("53200", "too much is held for unfinished messages");
                 return;
             }
-            int most = conversation.waiting() ? MOST_AHEAD : MessageReader.MAX_MESSAGE + 5;
-            link.reading(in.held() < most);
+            if (overrun > 0 && !more && !conversation.waiting() && !left) {
+                tooMuchAhead(); // all that was held whole has been answered
+                return;
+            }
+            link.reading(conversation.waiting() || overrun > 0
+                    || in.held() < MessageReader.MAX_MESSAGE + 5);
         } catch (MessageReader.GarbledException e) {
             front.counters().add(Count.CLIENTS_GARBLED);
             fatal("08P01", e.getMessage());
@@ -173,14 +195,9 @@
         front.loop().execute(this::work); // a next query may have come already
     }
 
-    /** Says why, closes, and does not wait long for a client that does not read it. */
+    /** Says why, and ends the session. */
     void fatal(String code, String why) {
-        link.write(goodbye(code, why));
-        link.closeAfterFlush();
-        if (!link.isClosed()) {
-            front.loop().after(GOODBYE_S, link::close);
-        }
-        leave();
+        end(goodbye(code, why));
     }
 
     private static byte[] goodbye(String code, String why) {
@@ -189,6 +206,18 @@
 
     // ---- the end ----
 
+    /**
+     * Ends the session by us, in order: last words, the end of what we send, and what the client sends until
+     * it has ended, too, is thrown away. That comes first of all, so that nothing lies between the last look
+     * for a query ({@link #poll}) and this.
+     */
+    void end(byte[] lastWords) {
+        if (!left) {
+            front.places().linger(link, lastWords);
+            leave();
+        }
+    }
+
     @Override
     public void crashed() {
         front.counters().add(Count.INTERNAL_ERRORS);
@@ -197,22 +226,23 @@
 
     @Override
     public void disconnected() {
-        leave();
+        if (!left) {
+            front.places().closed();
+            leave();
+        }
     }
 
-    void close() {
+    /** Closes at once, for a client that takes nothing any more. */
+    private void close() {
         link.close();
-        leave();
+        disconnected();
     }
 
     /** The one way out: gives back what is held, the open query and the slot, once. */
     private void leave() {
-        if (left) {
-            return;
-        }
         left = true;
         front.holds(-heldBefore);
         conversation.end();
-        front.left(this);
+        front.places().left(this);
     }
 }
