End in good order from before the first client on, and reload against what runs

Cause: the shutdown hook was set after Server.start had returned, so a SIGTERM between the first accepted connection and that line killed the process under its clients, and one before it ended without a line in the log; a process that waited for its port would have gone on to listen. A reload replaced the configuration that the start still read: SIGHUP during the wait for a port in use moved the process to the new file's address, which it had just said takes effect at the next start; a second SIGHUP with the same file named nothing, and one with the first file again named keys that had not changed.

Change: finishOnShutdown comes before start (serve, with a product, rehearse); an end that begins before anybody could connect is over at once, and nothing listens after it. Server keeps the configuration of the start; Reload, a class of its own, tells what differs from it. The list of engines starts before a reload can be carried out. DispatcherProcess.address waits as long as HeldSocket does, and tells the log of a process that has ended.

--- a/src/main/java/junipercourse/cli/Ending.java
+++ b/src/main/java/junipercourse/cli/Ending.java
@@ -24,9 +24,11 @@
     private final Loop loop;
     private final Gateway gateway;
     private final PgFront front;
-    private final double answeredAfter;
+    private final double longest;
     private final int kept;
     private final CountDownLatch done = new CountDownLatch(1);
+    private boolean listening;
+    private boolean begun;
 
     /** Of a process that is replaced, {@code kept} queries stay in hand at most. */
     Ending(Loop loop, Gateway gateway, PgFront front, Settings settings, int kept) {
@@ -34,22 +36,35 @@
         this.gateway = gateway;
         this.front = front;
         this.kept = kept;
-        double longest = settings.classes().stream().mapToDouble(QueryClass::deadline).max().orElse(0);
-        answeredAfter = front.sharesSocket() ? Math.min(REPLACED_MOST_S, longest) + REPLACED_MARGIN_S
-                : ALL_ANSWERED_S;
+        longest = settings.classes().stream().mapToDouble(QueryClass::deadline).max().orElse(0);
+    }
+
+    /** Clients can connect from now on. On the loop's thread. */
+    void listening() {
+        listening = true;
+    }
+
+    /** Whether the end has begun. On the loop's thread. */
+    boolean begun() {
+        return begun;
     }
 
     /** Returns once nothing is owed to anybody any more, or no time is left. */
     void run() {
         loop.execute(() -> {
+            begun = true;
             Logger.info("asked to end; {} queries are open", gateway.open());
+            if (!listening) { // nobody has come
+                done.countDown();
+                return;
+            }
             if (front.sharesSocket()) { // those who come are the other processes'
                 front.leaveToOthers(this::untilIdle);
                 handOver();
             } else {
                 loop.after(STILL_COMING_S, this::untilIdle);
             }
-            loop.after(answeredAfter, () -> {
+            loop.after(answeredAfter(), () -> {
                 untilIdle();
                 gateway.lastAnswers().answerAll();
             });
@@ -61,6 +76,10 @@
         }
     }
 
+    private double answeredAfter() {
+        return front.sharesSocket() ? Math.min(REPLACED_MOST_S, longest) + REPLACED_MARGIN_S : ALL_ANSWERED_S;
+    }
+
     /** What comes on connections that were open before is started at once, or sent on as well. */
     private void handOver() {
         gateway.lastAnswers().handOver(kept);
--- a/src/main/java/junipercourse/cli/Main.java
+++ b/src/main/java/junipercourse/cli/Main.java
@@ -99,8 +99,8 @@
                 }
                 Server server = new Server(Config.read(System.getenv()));
                 server.reloadOnHangUp(System.getenv());
-                server.start();
                 server.finishOnShutdown();
+                server.start();
             }
             case "simhost" -> {
                 return new SimHost(System.err).run(new BufferedInputStream(System.in, 1 << 16), System.out);
--- a/src/main/java/junipercourse/cli/Rehearsal.java
+++ b/src/main/java/junipercourse/cli/Rehearsal.java
@@ -76,8 +76,8 @@
     void run() throws IOException {
         Server server = new Server(config);
         server.reloadOnHangUp(Map.of());
-        server.start();
         server.finishOnShutdown();
+        server.start();
         engine.start();
         try (Socket socket = new Socket()) {
             socket.setSoTimeout(PATIENCE_MS);
--- a/src/main/java/junipercourse/cli/ServeWithProduct.java
+++ b/src/main/java/junipercourse/cli/ServeWithProduct.java
@@ -30,8 +30,8 @@
         Part fleet = product.fleet() == null ? null : new Fleet(config.name(), product.fleet());
         Server server = new Server(config, fleet);
         server.reloadOnHangUp(environment);
-        server.start();
         server.finishOnShutdown();
+        server.start();
         return 0;
     }
 }
--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.channels.ServerSocketChannel;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -23,7 +22,6 @@
 import junipercourse.net.InheritedSocket;
 import junipercourse.net.Loop;
 import junipercourse.pg.PgFront;
-import junipercourse.roster.KnownEvents;
 import junipercourse.roster.RosterClient;
 import org.tinylog.Logger;
 
@@ -48,7 +46,7 @@
     private static final int DEAD = 3;
     private static final int MEGABYTE = 1 << 20;
 
-    private Config config; // replaced on the loop's thread only
+    private final Config config;
     private final Loop loop;
     private final Descriptors descriptors;
     private final Counters counters = new Counters();
@@ -59,6 +57,8 @@
     private final Overlap overlap; // null where no socket is handed down
     private final Part part; // null in most installations
     private final Staff staff; // null without a second address: then nothing of it is loaded
+    private final Ending ending;
+    private Thread finish; // null until the end is to be in good order
 
     Server(Config config) throws IOException {
         this(config, null);
@@ -93,6 +93,8 @@
                 : new Overlap(loop, descriptors, gateway, front,
                         (int) (config.resources().sockets() * TAKEN_PART),
                         Overlap.folder(config, "processes"));
+        ending = new Ending(loop, gateway, front, config.settings(), mostTaken);
+        loop.execute(roster::start); // before any reload, which goes on from there
     }
 
     /**
@@ -102,14 +104,13 @@
      */
     void start() throws IOException {
         CompletableFuture<Void> started = new CompletableFuture<>();
-        loop.execute(() -> {
-            roster.start();
-            listen(started, loop.now());
-        });
+        loop.execute(() -> listen(started, loop.now()));
         try {
             started.get();
         } catch (ExecutionException e) {
-            stop();
+            if (mayStop()) {
+                stop();
+            }
             if (e.getCause() instanceof ConfigException fault) {
                 throw fault;
             }
@@ -130,6 +131,9 @@
     }
 
     private void listen(CompletableFuture<Void> started, double since) {
+        if (ending.begun()) {
+            return; // nobody is to come any more, and who waits for the start is on its way out
+        }
         double waited = loop.now() - since;
         try {
             if (config.listenOn() == null) {
@@ -137,6 +141,7 @@
             } else {
                 front.listen(inherited());
             }
+            ending.listening();
             loop.attend();
             if (staff != null) {
                 staff.listening();
@@ -182,37 +187,15 @@
 
     /** From now on SIGHUP, which would end a JVM, takes on the configuration file as it is by then. */
     void reloadOnHangUp(Map<String, String> environment) {
-        Signals.on("HUP", () -> reload(environment));
+        new Reload(loop, roster, counters, config, environment).onHangUp();
     }
 
     /**
-     * Reads and checks the whole file on the signal's thread, so that nothing waits for the disk, and hands
-     * it to the loop. A file that cannot be used changes nothing; queries in flight notice nothing of either.
+     * From now on SIGTERM ends the program in good order. To be called before the start: a client may connect
+     * before that returns.
      */
-    private synchronized void reload(Map<String, String> environment) {
-        try {
-            Config next = Config.read(environment);
-            List<KnownEvents.Event> known = roster.check(next.known());
-            loop.execute(() -> apply(next, known));
-        } catch (ConfigException e) {
-            Logger.error("the configuration stays as it was; the new one has a fault: {}", e.getMessage());
-            loop.execute(() -> counters.add(Count.CONFIG_REJECTED));
-        }
-    }
-
-    private void apply(Config next, List<KnownEvents.Event> known) {
-        counters.add(Count.CONFIG_RELOADED);
-        next.fixedChanges(config).forEach(
-                key -> Logger.warn("{} has changed; that takes effect at the next start", key));
-        config = next;
-        roster.follow(next.bus(), known);
-        Logger.info("the configuration has been read again; the event bus is at {}", next.bus());
-    }
-
-    /** From now on SIGTERM ends the program in good order. */
     void finishOnShutdown() {
-        Ending ending = new Ending(loop, gateway, front, config.settings(), mostTaken);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+        finish = new Thread(() -> {
             if (staff != null) {
                 staff.ending();
             }
@@ -222,7 +205,17 @@
             }
             Logger.info("{} ends: {}; {}", config.name(), counters, descriptors);
             BoundedConsoleWriter.end();
-        }, "finish"));
+        }, "finish");
+        Runtime.getRuntime().addShutdownHook(finish);
+    }
+
+    /** Whether a failed start may end the loop: not once the end in good order runs on it. */
+    private boolean mayStop() {
+        try {
+            return finish == null || Runtime.getRuntime().removeShutdownHook(finish);
+        } catch (IllegalStateException e) {
+            return false; // the JVM is ending
+        }
     }
 
     /**
--- a/src/test/java/junipercourse/DispatcherProcess.java
+++ b/src/test/java/junipercourse/DispatcherProcess.java
@@ -57,9 +57,16 @@
         return Files.readString(Path.of("/proc/" + process.pid() + "/" + what));
     }
 
+    public long pid() {
+        return process.pid();
+    }
+
     /** Waits until clients can connect, and returns where. */
     public InetSocketAddress address() {
-        TestBench.await(() -> log().contains("listens on"));
+        TestBench.await(() -> log().contains("listens on") || !isAlive(), HeldSocket.PATIENCE_MS);
+        if (!log().contains("listens on")) {
+            throw new AssertionError(log());
+        }
         int port = Integer.parseInt(log().split("listens on [^:]*:")[1].split("\\D")[0]);
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
