Keep orders and claims of dispatchers that share $TMPDIR apart by their address, too

Cause: the folders of engines out by hand and of processes beside each other were named by the dispatcher's name alone, which is "junipercourse" for all that have none, and what a path cannot hold became one "_" (n/1 and n_1 were one). Another customer's dispatcher in the same $TMPDIR took the other's engines out, put them back, and shared its descriptors with it.

Change: Overlap.folder has the name and the listen address, written so that no two come to one folder. Both processes of a replacement have the same address, so theirs stays one folder. Orders that an older build kept are not seen.

Measured: on the code before, the new test of two dispatchers of one name at two addresses found the second one skipping the first one's engine, and noTwoDispatchersHaveOneFolder found names that shared a folder; both pass. SettingsApartTest has two servers of different classes, tenants, deadlines, zones and engines in one JVM, and a third after one has ended: it passed at once; with the reader's classes made static it failed (the first server refused its own deadline). TakenOutTest.ordersHoldForBothProcessesAndOutliveThem failed in some runs on this machine at a load of 44 ("not within 20000 ms"), as it did on the code before; it passed in others.

--- a/src/main/java/junipercourse/cli/Overlap.java
+++ b/src/main/java/junipercourse/cli/Overlap.java
@@ -1,7 +1,11 @@
 package junipercourse.cli;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
 import java.nio.file.Path;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -65,10 +69,16 @@
         looks.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** For what outlives a process. Where dispatchers share {@code $TMPDIR}, names tell them apart. */
+    /**
+     * For what outlives a process. Where dispatchers share {@code $TMPDIR}, a name and the address at which
+     * its clients connect tell them apart, also those that were given no name. No two come to one folder:
+     * what a path cannot hold is written as URLs write it, and an address has no hyphen.
+     */
     static Path folder(Config config, String what) {
         String tmp = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
-        return Path.of(tmp, "junipercourse-" + what + "-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
+        InetSocketAddress listen = config.listen();
+        return Path.of(tmp, "junipercourse-" + what + "-" + URLEncoder.encode(config.name(), UTF_8) + "-"
+                + URLEncoder.encode(listen.getAddress().getHostAddress(), UTF_8) + "-" + listen.getPort());
     }
 
     private void look() {
