Give clients the third of the descriptors that they may open, also at small limits

Cause: Server gave engines half of what is not its own, and of that 8 to closing connections at any limit. Idle ones took all places, and a CancelRequest stood unaccepted until the lobby was emptied, 0.3 s. With a second address places for a third were missing up to a limit of 138.

Change: SocketShares: half and half, but clients get a third and one where that is more, engines no less than a quarter, and what may be closing is a quarter of theirs, 8 at most. Limits from 85 on (139 with a second address) keep their halves.

--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -36,10 +36,6 @@
     private static final int OWN_SOCKETS = 28;
     /** Of those that come with a second address: its selectors, its listening socket, the folder's. */
     private static final int STAFF_SOCKETS = 10;
-    /** Connections to engines that are closed but still count, and beyond which they are waited for. */
-    private static final int CLOSING = 8;
-    /** Of the others: clients open a third of all descriptors at most, and some only hold theirs. */
-    private static final double ENGINE_PART = 0.5;
     /** Of all descriptors: queries in hand, most of the third that clients may open. */
     private static final double TAKEN_PART = 0.85 / 3;
     /** Of all memory: what clients may have sent of unfinished messages. */
@@ -72,9 +68,9 @@
         boolean administered = config.admin() != null;
         descriptors = new Descriptors(config.resources().sockets(),
                 OWN_SOCKETS + (administered ? STAFF_SOCKETS + Staff.connections(config) : 0));
-        int toEngines = (int) (descriptors.free() * ENGINE_PART);
-        Descriptors.Share engineShare = descriptors.share("engines", toEngines - CLOSING, CLOSING);
-        Descriptors.Share clientShare = descriptors.share("clients", descriptors.free(), 0);
+        SocketShares shares = SocketShares.of(descriptors.limit(), descriptors.free());
+        Descriptors.Share engineShare = descriptors.share("engines", shares.engines(), shares.closing());
+        Descriptors.Share clientShare = descriptors.share("clients", shares.clients(), 0);
         EngineClient engines = new EngineClient(loop, config.settings(), engineShare, counters);
         mostTaken = (int) (config.resources().sockets()
                 * (config.listenOn() == null ? TAKEN_PART : Overlap.ALONE_PART));
--- /dev/null
+++ b/src/test/java/junipercourse/cli/DiscoveryDownTest.java
@@ -0,0 +1,193 @@
+package junipercourse.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import junipercourse.DispatcherProcess;
+import junipercourse.QueryStream;
+import junipercourse.ScriptedBus;
+import junipercourse.TestBench;
+import junipercourse.TestBench.Client;
+import junipercourse.TestBench.StubEngine;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The whole process while the event bus is down or silent, under a limit of descriptors that is enforced. */
+class DiscoveryDownTest {
+    /** The query with this number runs until it is given up; all others are answered at once. */
+    private static final int HELD = 0xabc;
+    private static final double SILENCE_S = 2.5;
+    private static final double SLACK_S = 1.0;
+    /** Well under the time for which a client without a word holds the last places. */
+    private static final double CANCEL_S = 0.2;
+    @TempDir
+    private Path folder;
+    private final List<Socket> idle = new ArrayList<>();
+    private final List<Double> startedAtFirst = new CopyOnWriteArrayList<>();
+    private StubEngine first;
+    private StubEngine second;
+    private ScriptedBus bus;
+    private DispatcherProcess process;
+    private InetSocketAddress front;
+
+    @BeforeEach
+    void open() throws IOException {
+        first = new StubEngine(call -> {
+            if (call.startsWith("POST")) {
+                startedAtFirst.add(ScriptedBus.now());
+            }
+            return answer(call);
+        });
+        second = new StubEngine(this::answer);
+        bus = new ScriptedBus();
+    }
+
+    private String answer(String call) {
+        if (call.startsWith("DELETE")) {
+            return TestBench.GIVEN_UP;
+        }
+        if (!call.contains("%016x".formatted(HELD))) {
+            return TestBench.OK;
+        }
+        TestBench.pause(call.startsWith("POST") ? 0 : 100);
+        return TestBench.RUNNING;
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (Socket s : idle) {
+            s.close();
+        }
+        if (process != null) {
+            process.close();
+        }
+        bus.close();
+        first.close();
+        second.close();
+    }
+
+    private void start(int limit) throws IOException {
+        Files.writeString(folder.resolve("config.json"), TestBench.CONFIG
+                .replace("127.0.0.1:1\"", "127.0.0.1:" + bus.address().getPort() + "\"")
+                .replace("\"sockets\":1024", "\"sockets\":" + limit)
+                .replace("_per_s\":50.0", "_per_s\":5000.0"));
+        process = new DispatcherProcess(folder, limit);
+        front = process.address();
+    }
+
+    private static String query(int number) {
+        return TestBench.query("check", number, 7000).replace("00000000000000aa", "%016x".formatted(number));
+    }
+
+    /** Connects so many that say nothing. */
+    private void fill(int clients) throws IOException {
+        for (int i = 0; i < clients; i++) {
+            idle.add(new Socket(front.getAddress(), front.getPort()));
+        }
+    }
+
+    /** A client that asks at once is taken and served as soon as one that says nothing has had its time. */
+    private void askUntilServed() throws IOException {
+        String answer = "";
+        int number = 0;
+        for (double end = ScriptedBus.now() + 2; !answer.equals(QueryStream.SERVED);) {
+            assertTrue(ScriptedBus.now() < end, answer);
+            try (Client c = new Client(front)) {
+                c.write(Client.startup(), Client.message(query(++number)));
+                answer = c.answer();
+                answer = answer.isEmpty() ? c.answer() : answer;
+            }
+        }
+    }
+
+    /**
+     * Clients that say nothing come while discovery is down, first far more than may, then just the third of
+     * the limit that they may open: the bus, an engine and a CancelRequest still get theirs.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {64, 96, 128})
+    void idleClientsTakeNothingThatOthersNeed(int limit) throws Exception {
+        int port = bus.address().getPort();
+        bus.close();
+        start(limit);
+        int own = process.descriptors();
+        int most = 0;
+        try {
+            for (int i = 0; i < 2; i++) {
+                fill(limit);
+                most = Math.max(most, process.descriptors());
+                TestBench.pause(300);
+                most = Math.max(most, process.descriptors());
+            }
+            bus = new ScriptedBus(port);
+            Socket watch = bus.accept();
+            most = Math.max(most, process.descriptors());
+            bus.frames(watch, ScriptedBus.frame(true, 1, 1, first.address(), false));
+            askUntilServed();
+            for (Socket s : idle) {
+                s.close();
+            }
+            TestBench.await(() -> process.descriptors() < own + 4);
+            try (Client held = new Client(front).start()) {
+                held.write(Client.message(query(HELD)));
+                TestBench.await(() -> first.count("GET") > 0);
+                fill(limit / 3 - 2); // with the one that asked, and the CancelRequest
+                double at = ScriptedBus.now();
+                held.cancel();
+                TestBench.await(() -> first.count("DELETE") == 1);
+                double took = ScriptedBus.now() - at;
+                most = Math.max(most, process.descriptors());
+                assertTrue(took < CANCEL_S, "a CancelRequest took " + took + " s");
+            }
+        } catch (IOException | AssertionError e) {
+            throw new AssertionError(process.log(), e);
+        }
+        assertTrue(most <= limit, "held " + most);
+        assertTrue(process.isAlive());
+        assertFalse(process.log().contains("Too many open files"), process.log());
+        assertFalse(process.log().contains("accept failed"), process.log());
+    }
+
+    /**
+     * An engine that begins to drain while the watch is silent gets nothing new once the next watch has told
+     * it, which it does in time.
+     */
+    @Test
+    void aDrainThatIsPublishedDuringSilenceIsFollowed() throws Exception {
+        start(1024);
+        Socket watch = bus.accept();
+        bus.frames(watch, ScriptedBus.frame(true, 1, 1, first.address(), false));
+        try (Client c = new Client(front).start()) {
+            bus.frames(watch, ScriptedBus.frame(false, 2, 2, second.address(), false));
+            AtomicReference<Double> toldAt = new AtomicReference<>(Double.POSITIVE_INFINITY);
+            TestBench.daemon(() -> {
+                Socket s = bus.accept();
+                ScriptedBus.bytes(s, ScriptedBus.frame(false, 3, 1, first.address(), true));
+                toldAt.set(ScriptedBus.now());
+            });
+            int number = 0;
+            while (ScriptedBus.now() < Math.min(toldAt.get() + 2, bus.lastFrameAt + 8)) {
+                assertEquals(QueryStream.SERVED, c.ask(query(++number)));
+                TestBench.pause(10);
+            }
+            double told = toldAt.get();
+            assertTrue(told - bus.lastFrameAt < SILENCE_S + SLACK_S, "told at " + told);
+            assertTrue(startedAtFirst.stream().filter(at -> at < told).count() > 10, "not in use before");
+            assertEquals(0, startedAtFirst.stream().filter(t -> t > told + 0.3).count(), "sent to it later");
+        }
+    }
+}
--- a/src/test/java/junipercourse/roster/RosterOrdersTest.java
+++ b/src/test/java/junipercourse/roster/RosterOrdersTest.java
@@ -1,9 +1,9 @@
 package junipercourse.roster;
 
-import static junipercourse.roster.ScriptedBus.CHANGE;
-import static junipercourse.roster.ScriptedBus.NOTHING;
-import static junipercourse.roster.ScriptedBus.WHOLE;
-import static junipercourse.roster.ScriptedBus.bytes;
+import static junipercourse.ScriptedBus.CHANGE;
+import static junipercourse.ScriptedBus.NOTHING;
+import static junipercourse.ScriptedBus.WHOLE;
+import static junipercourse.ScriptedBus.bytes;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import junipercourse.ScriptedBus;
 import junipercourse.TestBench;
 import junipercourse.core.Backend.Member;
 import junipercourse.net.Loop;
