Test that small writes are not held back on accepted and dialled connections

TCP_NODELAY was set already, in Acceptors and IoThread. LoopTest asks each kind of connection for it: taken out of both places once, it printed accepted=false, accepted from a held socket=false, dialled=false.

--- a/src/test/java/junipercourse/net/LoopTest.java
+++ b/src/test/java/junipercourse/net/LoopTest.java
@@ -3,11 +3,21 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import junipercourse.TestBench;
 import org.junit.jupiter.api.Test;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
 
 class LoopTest {
     @Test
@@ -47,4 +57,35 @@
         loop.stop();
         assertTrue(loop.wakeUps() <= 100, "woken " + loop.wakeUps() + " times for 50 deadlines");
     }
+
+    /** Small writes that the system holds back would go down with a close: on both sides none are. */
+    @Test
+    void noConnectionHoldsSmallWritesBack() throws Exception {
+        Loop loop = new Loop(() -> { }, e -> { });
+        Map<String, Boolean> noDelay = new ConcurrentHashMap<>();
+        loop.execute(() -> {
+            try {
+                InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+                InetSocketAddress at = loop.listen(any, 5, c -> noDelay.put("accepted", isSet(c)))
+                        .getLocalAddress(InetSocketAddress.class);
+                loop.dial(at, 2, c -> noDelay.put("dialled", isSet(c)), f -> { });
+                ServerSocketChannel held = ServerSocketChannel.open().bind(any);
+                loop.listen(held, 5, c -> noDelay.put("accepted from a held socket", isSet(c)));
+                loop.dial((InetSocketAddress) held.getLocalAddress(), 2, c -> { }, f -> { });
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        TestBench.await(() -> noDelay.size() == 3);
+        loop.stop();
+        assertEquals(Set.of(true), Set.copyOf(noDelay.values()), noDelay.toString());
+    }
+
+    private static boolean isSet(StreamConnection connection) {
+        try {
+            return connection.getOption(Options.TCP_NODELAY);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
 }
