--- a/src/test/java/junipercourse/DispatcherProcess.java
+++ b/src/test/java/junipercourse/DispatcherProcess.java
@@ -16,7 +16,6 @@
 public final class DispatcherProcess implements Closeable {
     private static final Pattern TEST_ONLY = Pattern.compile("test-classes|surefire|junit|jqwik|awaitility"
             + "|hamcrest|archunit|opentest4j|apiguardian|slf4j");
-    /** A JVM that has its turn after all others of a busy machine; times to ready are held elsewhere. */
     private final Process process;
     private final Path log;
 
