Tell an engine how long is left at a POST's first byte, not when its dial began

X-Limit-Ms was worked out in Fetch.start, before the wait for room and the dial: with a dial of up to 1.5 s (settings) an engine was told of up to 1.5 s and more that the dispatcher no longer waits, and ran on for nobody. The bytes of a start are now made right before the first of them is written.

FirstByteTest.theTimeThatADialTookIsNotToldToTheEngineAsLeft holds the turn for 0.6 s after the dial; with the old moment it printed "[6896] ==> expected: <true> but was: <false>" where at most 6400 of 7000 ms were left.

--- a/src/main/java/junipercourse/engine/EngineCall.java
+++ b/src/main/java/junipercourse/engine/EngineCall.java
@@ -1,5 +1,7 @@
 package junipercourse.engine;
 
+import java.util.function.Supplier;
+
 /**
  * One call to an engine, from the moment a connection is wanted for it until its answer is there or it
  * failed. Exactly one of the listener's methods that tell how it went is called, unless it is dropped.
@@ -38,13 +40,14 @@
         void takenBack();
     }
 
-    private final byte[] request;
+    private final Supplier<byte[]> request;
     private final Listener listener;
     private boolean wanted = true;
     private EngineConnection on;
     private Runnable stopDialing;
 
-    EngineCall(byte[] request, Listener listener) {
+    /** {@code request} is asked for right before its first byte. */
+    EngineCall(Supplier<byte[]> request, Listener listener) {
         this.request = request;
         this.listener = listener;
     }
@@ -68,7 +71,7 @@
         }
         stopDialing = null;
         on = connection;
-        connection.write(this, request);
+        connection.write(this, request.get());
     }
 
     void written() {
--- a/src/main/java/junipercourse/engine/Fetch.java
+++ b/src/main/java/junipercourse/engine/Fetch.java
@@ -57,8 +57,8 @@
 
     void start() {
         if (givenUpAs == null) {
-            long wait = Math.max(1, Math.round((giveUpAt - loop.now()) * 1000));
-            calls.run(EngineRequests.post(query, wait), new Start(), true);
+            calls.start(() -> EngineRequests.post(query,
+                    Math.max(1, Math.round((giveUpAt - loop.now()) * 1000))), new Start());
         }
     }
 
--- a/src/main/java/junipercourse/engine/FetchCalls.java
+++ b/src/main/java/junipercourse/engine/FetchCalls.java
@@ -1,5 +1,6 @@
 package junipercourse.engine;
 
+import java.util.function.Supplier;
 import junipercourse.liveness.AttemptEvidence;
 import junipercourse.net.Deadlines;
 import junipercourse.net.Loop;
@@ -32,6 +33,15 @@
 
     /** Makes a call on the connection that is kept, if that is usable, or on a new one. */
     void run(byte[] request, Step step, boolean starts) {
+        run(() -> request, step, starts);
+    }
+
+    /** Makes the call that starts the query, whose bytes tell of the moment when the first of them leaves. */
+    void start(Supplier<byte[]> request, Step step) {
+        run(request, step, true);
+    }
+
+    private void run(Supplier<byte[]> request, Step step, boolean starts) {
         EngineCall mine = new EngineCall(request, step);
         call = mine;
         step.starts = starts;
--- a/src/test/java/junipercourse/TestBench.java
+++ b/src/test/java/junipercourse/TestBench.java
@@ -182,6 +182,8 @@
     /** An engine that answers each call, such as {@code POST /fetch ID}, as its script says. */
     public static class StubEngine implements Closeable {
         public final List<String> calls = new CopyOnWriteArrayList<>();
+        /** How long the dispatcher would wait, in ms, by each POST. */
+        public final List<Integer> limits = new CopyOnWriteArrayList<>();
         private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         private final List<Socket> open = new CopyOnWriteArrayList<>();
         private final Function<String, String> script;
@@ -236,6 +238,9 @@
                 String id = "";
                 for (String h = line(in); !h.isEmpty(); h = line(in)) {
                     body = h.startsWith("Content-Length: ") ? Integer.parseInt(h.substring(16)) : body;
+                    if (h.startsWith("X-Limit-Ms: ")) {
+                        limits.add(Integer.parseInt(h.substring(12)));
+                    }
                     id = h.startsWith("X-Txn: ") ? " " + h.substring(7) : id;
                 }
                 if (in.readNBytes(body).length < body) {
--- a/src/test/java/junipercourse/core/FirstByteTest.java
+++ b/src/test/java/junipercourse/core/FirstByteTest.java
@@ -169,6 +169,20 @@
         assertEquals(0, e.count("POST"));
     }
 
+    /** The engine is told how long is left when the first byte leaves, not when the dial began. */
+    @Test
+    void theTimeThatADialTookIsNotToldToTheEngineAsLeft() throws Exception {
+        StubEngine e = bench.engine(1, call -> OK);
+        Client client = bench.client().start();
+        Stop stop = bench.stopAfterDials(1);
+        client.write(Client.message(query("check", 1, 7000)));
+        stop.reached();
+        TestBench.pause(600);
+        stop.goOn();
+        assertEquals(SERVED, client.answer());
+        assertTrue(e.limits.get(0) <= 6400, e.limits::toString);
+    }
+
     /** A query that waits for room, or for its key's turn, is not sent for a client that left meanwhile. */
     @ParameterizedTest
     @CsvSource({"check", "load"})
