--- a/src/main/java/junipercourse/decision/Pick.java
+++ b/src/main/java/junipercourse/decision/Pick.java
@@ -97,7 +97,7 @@
         }
         boolean selfCut = !s.settings.limits().cancel() && !n.back && job.c.effect() != Effect.ONCE;
         s.actions.send(job.r.id(), n.id, selfCut ? est.cutAfter(job) : 0);
-        double charge = rules.cold(now, n) ? rules.charge(job.view, now - n.coldFrom, n) : 0;
+        double charge = rules.cold(now, n) ? rules.charge(est.work(job), now - n.coldFrom, n) : 0;
         Attempt a = new Attempt(job, n, now, mb, est.expected(job), charge);
         a.begin();
         if (job.sent() > 1) { s.resent.add(now); }
