--- a/src/main/java/junipercourse/cli/Ending.java
+++ b/src/main/java/junipercourse/cli/GracefulShutdown.java
@@ -9,7 +9,7 @@
 import org.tinylog.Logger;
 
 /** The end in good order: goes on for as long as clients may still come, then until all are answered. */
-final class Ending {
+final class GracefulShutdown {
     /**
      * New connections keep coming for 0.2 to 0.4 s after SIGTERM and their requests for 0.2 s more (PROTOCOL,
      * Figures); the rest is for the signal's way to us. Not longer: what comes more than 0.7 s after SIGTERM
@@ -38,7 +38,7 @@
     private final CountDownLatch done = new CountDownLatch(1);
 
     /** Of a process that is replaced, {@code kept} queries stay in hand at most. */
-    Ending(Loop loop, Gateway gateway, PgFront front, Settings settings, int kept) {
+    GracefulShutdown(Loop loop, Gateway gateway, PgFront front, Settings settings, int kept) {
         this.loop = loop;
         this.gateway = gateway;
         this.front = front;
--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -211,7 +211,7 @@
 
     /** From now on SIGTERM ends the program in good order. */
     void finishOnShutdown() {
-        Ending ending = new Ending(loop, gateway, front, config.settings(), mostTaken);
+        GracefulShutdown ending = new GracefulShutdown(loop, gateway, front, config.settings(), mostTaken);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             if (staff != null) {
                 staff.ending();
