--- a/src/main/java/junipercourse/cli/Server.java
+++ b/src/main/java/junipercourse/cli/Server.java
@@ -53,7 +53,7 @@
     private final Overlap overlap; // null where no socket is handed down
     private final Part part; // null in most installations
     private final Staff staff; // null without a second address: then nothing of it is loaded
-    private final Ending ending;
+    private final GracefulShutdown ending;
     private Thread finish; // null until the end is to be in good order
 
     Server(Config config) throws IOException {
@@ -89,7 +89,7 @@
                 : new Overlap(loop, descriptors, gateway, front,
                         (int) (config.resources().sockets() * TAKEN_PART),
                         Overlap.folder(config, "processes"));
-        ending = new Ending(loop, gateway, front, config.settings(), mostTaken);
+        ending = new GracefulShutdown(loop, gateway, front, config.settings(), mostTaken);
         loop.execute(roster::start); // before any reload, which goes on from there
     }
 
