Charge a cold engine each query's own estimate, and send it none too large for a window

Cause: Rules.charge and Pick.send weighed a query on a cold engine by the usual work of its class. Work is lognormal, and one report in 480 alone brings more than an engine of the sample settings bears at its start with all chance counted. The number of dispatchers was not at fault.

Change: the charge goes by the query's own estimate, where it has one, and ColdBudget.bears keeps off a cold engine what is over half of a window's budget and over the usual work of its class (that bounded by aim times threads).

ColdFleetTest without the mend: aHugeQueryWaitsUntilTheEngineIsWarm "expected: <0> but was: <1>", aQueryIsChargedItsOwnEstimate the same, noSingleQueryPushesAColdEngineOver "main 10 ZONE_BACK ... broken=true". ColdFleetTest, DispatcherTest, RulesTest, FleetTest, SimHostTest, ArchitectureTest: pass.

--- a/src/main/java/junipercourse/decision/ColdBudget.java
+++ b/src/main/java/junipercourse/decision/ColdBudget.java
@@ -9,6 +9,7 @@
 final class ColdBudget {
     private static final double SAFETY = 0.7; // of the budget: work and speed are guesses
     private static final double CHANCE = 3; // deviations kept free in it for sends of other gateways
+    private static final double LARGEST = 0.5; // part of a window's work that a single query may bring
     private static final double CAPACITY_BUSY = 0.85; // share of cores busy at capacity
 
     private final Guarantees rules;
@@ -28,10 +29,20 @@
         return rules.fallMultiple() * warmth(age) * cores * CAPACITY_BUSY * SAFETY;
     }
 
+    /**
+     * Whether a query is small enough: the room for chance is one of many sends, and one query of more than
+     * a window's work passes it alone. What its class usually needs may go, so that no class is shut out; but
+     * a first one that is huge passes for usual, which the latency aim bounds.
+     */
+    boolean bears(Estimates est, Job job, double age, Node n) {
+        double usual = Math.min(est.usualWork(job.view), job.c.aim() * job.c.threads());
+        return est.work(job) <= Math.max(usual, fill(age, n.cores) * rules.fallWindow() * LARGEST);
+    }
+
     /** Work and what chance adds to it: few heavy sends scatter more than many light ones. */
-    double charge(double work, double age, double cores, double ownPart) {
-        double most = fill(age, cores) * rules.fallWindow();
-        double chance = CHANCE * (1 - ownPart) * Math.sqrt(work / most);
+    double charge(Estimates est, double work, double age, Node n) {
+        double most = fill(age, n.cores) * rules.fallWindow();
+        double chance = CHANCE * (1 - est.ownPart()) * Math.sqrt(work / most);
         double part = (Math.sqrt(chance * chance + 4) - chance) / 2;
         return work / (part * part);
     }
--- a/src/main/java/junipercourse/decision/Estimates.java
+++ b/src/main/java/junipercourse/decision/Estimates.java
@@ -39,12 +39,15 @@
         return job.r.cost() > 0 && !Double.isNaN(usual) ? Math.max(1, job.unit() / Math.exp(usual)) : 1;
     }
 
-    /** Rule 4 weighs a query by the usual work of its class, which does not rise while engines are slow. */
+    /** Of a class, for rule 4 where there is no estimate: it does not rise while engines are slow. */
     double usualWork(ClassView v) {
         double took = Double.isNaN(v.tryTook) ? v.c.aim() : v.tryTook;
         return Double.isNaN(v.work) ? took * v.c.threads() : v.work;
     }
 
+    /** What rule 4 charges: the query's own estimate, since a class's heaviest are many times its mean. */
+    double work(Job job) { return job.r.cost() > 0 ? job.r.cost() : usualWork(job.view); }
+
     double aimAt(Job job) {
         return job.takenAt + job.c.aim() + job.c.aimStretch() * expected(job) * 0.7;
     }
--- a/src/main/java/junipercourse/decision/Pick.java
+++ b/src/main/java/junipercourse/decision/Pick.java
@@ -110,7 +110,7 @@
         n.take(job, mb);
         s.openThreads += n.ejected ? 0 : job.c.threads();
         if (n.ejected) { n.trialAt = now + n.trialGap; }
-        n.coldCredit -= rules.cold(now, n) ? rules.charge(job.view, now - n.coldFrom, n) : 0;
+        n.coldCredit -= rules.cold(now, n) ? rules.charge(est.work(job), now - n.coldFrom, n) : 0;
         s.looks.add(now + Math.min(LOOK_S, est.cutAfter(job)), job);
     }
 
--- a/src/main/java/junipercourse/decision/Rules.java
+++ b/src/main/java/junipercourse/decision/Rules.java
@@ -48,19 +48,17 @@
         double filled = s.coldBudget.fill(now - n.coldFrom, n.cores) * (now - n.coldAt) * est.ownPart();
         n.coldCredit = Math.min(0, n.coldCredit + filled);
         n.coldAt = now;
-        return n.coldCredit >= 0;
+        return n.coldCredit >= 0 && s.coldBudget.bears(est, job, now - n.coldFrom, n);
     }
 
     void startCold(Node n, double at) {
         n.coldFrom = Math.max(n.coldFrom, at);
         n.coldAt = n.coldFrom;
-        double most = Arrays.stream(s.classes).mapToDouble(v -> charge(v, 0, n)).max().orElse(0);
+        double most = charge(Arrays.stream(s.classes).mapToDouble(est::usualWork).max().orElse(0), 0, n);
         n.coldCredit = -most * s.random.nextDouble() * (1 - est.ownPart());
     }
 
-    double charge(ClassView v, double age, Node n) {
-        return s.coldBudget.charge(est.usualWork(v), age, n.cores, est.ownPart());
-    }
+    double charge(double work, double age, Node n) { return s.coldBudget.charge(est, work, age, n); }
 
     boolean cold(double now, Node n) { return now < n.coldFrom + s.settings.guarantees().warmWithin(); }
 
