Keep the lobby's places free of connections on their way out

Of a flood of silent clients, those closed to make room lingered on as many places as the lobby has, so that all places were taken for good: Places.full() told a backlog at each accept, no mark could vouch that all had been read, and a query that had just come counted as come long before, with its time over. Load was ruled out by the repeats, the first-byte checks by the reason (the gateway's last moment, no attempt made).

Change: whoever lingers gives way as soon as more places are used than sessions may have.

--- a/src/main/java/junipercourse/pg/Places.java
+++ b/src/main/java/junipercourse/pg/Places.java
@@ -73,10 +73,18 @@
     void take(Session session) {
         session.slot = sessions.add(session);
         share.hold();
-        if (share.open() >= most && !lingering.isEmpty()) { // it keeps the next from being accepted
+        giveWay();
+        full();
+    }
+
+    /**
+     * Guards newcomers against those on their way out: the lobby's places are free of these. Were all places
+     * taken, some might wait unaccepted, and when what they have sent has come could not be told.
+     */
+    private void giveWay() {
+        while (share.open() > most - lobby && !lingering.isEmpty()) {
             lingering.peek().close();
         }
-        full();
     }
 
     /**
@@ -131,6 +139,7 @@
         if (lingering.size() > lobby) {
             lingering.peek().close();
         }
+        giveWay();
     }
 
     /** A connection's close is queued: the one place where its descriptor is given back. */
