--- a/src/main/java/junipercourse/fleet/link/Codec.java
+++ b/src/main/java/junipercourse/fleet/link/Codec.java
@@ -19,7 +19,7 @@
     /** What fits into one packet on any usual path. */
     static final int MOST_BYTES = 1200;
     static final int MAJOR = 1;
-    static final int MINOR = 0;
+    static final int MINOR = 1;
     static final int FLEET = 1;
     static final int MAJOR_FIELD = 2;
     static final int MINOR_FIELD = 3;
--- a/src/main/java/junipercourse/fleet/link/WordFields.java
+++ b/src/main/java/junipercourse/fleet/link/WordFields.java
@@ -14,6 +14,7 @@
  * from_incarnation = 5; uint32 kind = 6; uint64 number = 7; string about = 8; fixed64 digest = 9; uint32 page
  * = 10; uint32 pages = 11; repeated Statement statements = 12}, and in a Statement {@code string name = 1;
  * uint64 incarnation = 2; uint64 version = 3; uint32 standing = 4; string address = 5; string zone = 6}.
+ * Minor version 1 adds {@code repeated fixed32 buckets = 14}; 13 was never used.
  * Kinds and standings are counted from 1 in the order of their declaration.
  */
 final class WordFields {
@@ -36,6 +37,13 @@
         out.writeFixed64(9, w.digest());
         out.writeUInt32(10, w.page());
         out.writeUInt32(11, w.pages());
+        if (!w.buckets().isEmpty()) {
+            out.writeTag(14, BYTES);
+            out.writeUInt32NoTag(Integer.BYTES * w.buckets().size());
+            for (int bucket : w.buckets()) {
+                out.writeFixed32NoTag(bucket);
+            }
+        }
         byte[] bytes = new byte[STATEMENT_MOST];
         for (Statement s : w.statements()) {
             CodedOutputStream inner = CodedOutputStream.newInstance(bytes);
@@ -63,6 +71,7 @@
         int page = 0;
         int pages = 0;
         List<Statement> statements = new ArrayList<>();
+        List<Integer> buckets = new ArrayList<>();
         for (int tag = firstTag; tag != 0; tag = in.readTag()) {
             switch (tag) {
                 case 4 << 3 | BYTES -> from = in.readStringRequireUtf8();
@@ -78,10 +87,18 @@
                     statements.add(statement(in));
                     in.popLimit(outer);
                 }
+                case 14 << 3 | BYTES -> {
+                    int outer = in.pushLimit(in.readRawVarint32());
+                    while (!in.isAtEnd()) {
+                        buckets.add(in.readFixed32());
+                    }
+                    in.popLimit(outer);
+                }
                 default -> in.skipField(tag);
             }
         }
-        return new Word(from, incarnation, of(KINDS, kind), number, about, digest, statements, page, pages);
+        return new Word(from, incarnation, of(KINDS, kind), number, about, digest, statements, page, pages,
+            buckets);
     }
 
     private static Statement statement(CodedInputStream in) throws IOException {
--- a/src/main/java/junipercourse/fleet/view/Calls.java
+++ b/src/main/java/junipercourse/fleet/view/Calls.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import junipercourse.fleet.view.Budget.Need;
 import junipercourse.fleet.view.Word.Kind;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -36,26 +37,33 @@
         nextReach = now + settings.reachInterval() * (0.75 + random.nextDouble() / 2);
         Peer silent = roll.any(random, st -> st.standing() == Standing.UNREACHABLE);
         if (silent != null) {
-            post.toPeer(silent, Kind.PING, post.number(), silent.st.name(), null);
+            post.toPeer(silent, Kind.PING, post.number(), silent.st.name(), null, Need.PROBE);
         }
         if (seeds.isEmpty()) {
             return;
         }
         String seed = seeds.get(random.nextInt(seeds.size()));
         if (roll.any(random, st -> st.present() && st.address().equals(seed)) == null) {
-            post.to(seed, Kind.ASK_PAGE, post.number(), post.self().name(), List.of(), 0, 0);
+            post.to(seed, Kind.ASK_PAGE, post.number(), post.self().name(), List.of(), 0, List.of(),
+                Need.PROBE);
         }
     }
 
-    /** A few present members whose last word bore another digest are asked for a newer one. */
+    /**
+     * A few present members whose last word bore another digest are asked for a newer one, as long as all of
+     * them have to tell ours for us to be settled.
+     */
     void askDiffering(double now) {
+        if (roll.present() - 1 > Roll.SAMPLE) {
+            return;
+        }
         int asked = 0;
         for (Peer peer : roll.peers()) {
             if (asked < ASK_DIFFERING && peer.st.standing() == Standing.ALIVE && peer.digest != roll.digest()
                     && now >= peer.nextTry && !peer.st.name().equals(post.self().name())) {
                 asked++;
                 peer.nextTry = now + ASK_DIFFERING_S;
-                post.toPeer(peer, Kind.PING, post.number(), peer.st.name(), null);
+                post.toPeer(peer, Kind.PING, post.number(), peer.st.name(), null, Need.RECONCILE);
             }
         }
     }
@@ -67,7 +75,7 @@
         others.removeIf(peer -> !peer.st.present());
         for (int i = 0; i < FAREWELL_PEERS && !others.isEmpty(); i++) {
             Peer peer = others.remove(random.nextInt(others.size()));
-            post.toPeer(peer, Kind.PING, post.number(), peer.st.name(), null);
+            post.toPeer(peer, Kind.PING, post.number(), peer.st.name(), null, Need.ANSWER);
         }
         return ++farewells >= FAREWELLS;
     }
--- a/src/main/java/junipercourse/fleet/view/Learner.java
+++ b/src/main/java/junipercourse/fleet/view/Learner.java
@@ -33,8 +33,8 @@
 
     /** Joins our own newest statement. */
     void own(Statement self, double now) {
-        roll.join(self, now);
-        rumours.add(self, settings.passes(roll.present()));
+        Roll.Joined joined = roll.join(self, now);
+        rumours.add(self, joined == Roll.Joined.NEWS, settings.passes(roll.present()));
         changed = true;
     }
 
@@ -43,7 +43,8 @@
         if (heard.name().equals(post.self().name())) {
             if (!life.living()) {
                 life.known(heard);
-                changed |= roll.join(heard, now) == Roll.Joined.NEWS;
+                Roll.Joined joined = roll.join(heard, now);
+                changed |= joined == Roll.Joined.NEWS || joined == Roll.Joined.DETAIL;
             } else if (heard.compareTo(post.self()) > 0) {
                 challenged(heard, now);
             }
@@ -57,23 +58,25 @@
         if (hearsay) { // that another does not hear him is to be tried by ourselves
             next = heard.with(Standing.SUSPECT);
         }
-        join(next, now);
+        join(next, !hearsay, now);
         if (hearsay) {
-            peer.hearsay = true;
+            prober.hearsay(peer, now);
         }
     }
 
-    /** Joins a statement as it is. */
-    void join(Statement next, double now) {
+    /** Joins a statement as it is, and passes it on if it is news and to be. */
+    void join(Statement next, boolean passOn, double now) {
         Roll.Joined joined = roll.join(next, now);
-        if (joined == Roll.Joined.NEWS) {
+        if (joined == Roll.Joined.NEWS || joined == Roll.Joined.DETAIL) {
             changed = true;
-            rumours.add(next, settings.passes(roll.present()));
+            if (passOn) {
+                rumours.add(next, joined == Roll.Joined.NEWS, settings.passes(roll.present()));
+            }
             if (next.standing() == Standing.SUSPECT) {
                 prober.suspected(roll.get(next.name()), now);
             }
         } else if (joined == Roll.Joined.OLD) {
-            rumours.add(roll.known(next.name()), 1);
+            rumours.add(roll.known(next.name()), false, 1);
         } else if (joined == Roll.Joined.FULL && now >= nextFullLog) {
             nextFullLog = now + FULL_LOG_EVERY_S;
             out.log("members: " + settings.members() + " are known, no more are taken; refused "
--- a/src/main/java/junipercourse/fleet/view/Life.java
+++ b/src/main/java/junipercourse/fleet/view/Life.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import junipercourse.fleet.view.Budget.Need;
 import junipercourse.fleet.view.Word.Kind;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -116,15 +117,17 @@
 
     private void ask() {
         if (rival != null) {
-            post.to(rival.address(), Kind.PING, post.number(), rival.name(), List.of(), 0, 0);
+            post.to(rival.address(), Kind.PING, post.number(), rival.name(), List.of(), 0, List.of(),
+                Need.PROBE);
             Peer peer = roll.any(random, st -> st.present() && !st.name().equals(none.name()));
             if (peer != null) {
-                post.to(peer.st.address(), Kind.ASK_PAGE, question, none.name(), List.of(), 0, 0);
+                post.to(peer.st.address(), Kind.ASK_PAGE, question, none.name(), List.of(), 0, List.of(),
+                    Need.PROBE);
             }
             return;
         }
         for (String seed : seeds) {
-            post.to(seed, Kind.ASK_PAGE, question, none.name(), List.of(), 0, 0);
+            post.to(seed, Kind.ASK_PAGE, question, none.name(), List.of(), 0, List.of(), Need.PROBE);
         }
     }
 
--- a/src/main/java/junipercourse/fleet/view/Peer.java
+++ b/src/main/java/junipercourse/fleet/view/Peer.java
@@ -8,6 +8,15 @@
     double lastHeard = Double.NEGATIVE_INFINITY;
     /** The digest that his last word bore; 0 if none. */
     long digest;
+    /** When that word was read. */
+    double toldAt = Double.NEGATIVE_INFINITY;
+    /** Where his statements are compared, and what the digest shows of the greatest. */
+    final int bucket;
+    long hash;
+    /** Alive, but a round of questions has just failed; the next one decides. */
+    boolean doubted;
+    /** While suspect: we said so ourselves, and are to find out. */
+    boolean ours;
     /** While suspect: not called unreachable before this time. */
     double deadline;
     /** While suspect: our own tries since that he left unanswered. */
@@ -17,8 +26,9 @@
     /** Next try while suspect; next question for his digest while that differs. */
     double nextTry;
 
-    Peer(Statement st, double now) {
+    Peer(Statement st, int bucket, double now) {
         this.st = st;
+        this.bucket = bucket;
         this.since = now;
     }
 
@@ -26,10 +36,16 @@
         if (next.incarnation() != st.incarnation()) {
             lastHeard = Double.NEGATIVE_INFINITY;
             digest = 0;
+            toldAt = Double.NEGATIVE_INFINITY;
+            doubted = false;
         }
         if (next.incarnation() != st.incarnation() || next.standing() != st.standing()) {
             since = now;
         }
+        if (next.standing() != st.standing()) {
+            doubted = false;
+            ours &= next.standing() == Standing.SUSPECT;
+        }
         st = next;
         hearsay = false;
     }
--- a/src/main/java/junipercourse/fleet/view/Post.java
+++ b/src/main/java/junipercourse/fleet/view/Post.java
@@ -2,22 +2,37 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import junipercourse.fleet.view.Budget.Need;
 import junipercourse.fleet.view.Word.Kind;
 
-/** Builds the words that we send: our own statement first, then what its reader must know, then news. */
+/**
+ * Builds the words that we send, within the budget: our own statement first, then what its reader must know,
+ * then news.
+ */
 final class Post {
+    /** News take this part of what the budget leaves for them, so that the words after this have some too. */
+    private static final int NEWS_PART = 2;
+
     private final Settings settings;
     private final Roll roll;
     private final Rumours rumours;
     private final Out out;
+    private final Budget budget;
     private Statement self;
     private long number;
+    private double now;
 
     Post(Settings settings, Roll roll, Rumours rumours, Out out) {
         this.settings = settings;
         this.roll = roll;
         this.rumours = rumours;
         this.out = out;
+        this.budget = new Budget(settings.bytesASecond());
+    }
+
+    /** What is sent from now on is sent at this time. */
+    void at(double time) {
+        now = time;
     }
 
     /** Our own statement from now on; incarnation 0 while we have no life. */
@@ -34,8 +49,17 @@
         return ++number;
     }
 
-    /** A word to a member; if we doubt him it says so, that he can refute it. */
-    void toPeer(Peer peer, Kind kind, long question, String about, Statement extra) {
+    /** Bytes of statements that a word for this need may still hold; below 0 if none may go. */
+    int room(Need need) {
+        return budget.room(need, now) - settings.datagramOver() - new Word(self.name(), self.incarnation(),
+            Kind.PAGE, number, "", 0, List.of(self), 0, 2).bytes();
+    }
+
+    /**
+     * A word to a member; if we doubt him it says so, that he can refute it. False if the budget has no room
+     * for it: then it was not sent, and nothing can be concluded from silence.
+     */
+    boolean toPeer(Peer peer, Kind kind, long question, String about, Statement extra, Need need) {
         List<Statement> first = new ArrayList<>();
         if (peer.st.standing() != Standing.ALIVE) {
             first.add(peer.st);
@@ -43,20 +67,42 @@
         if (extra != null && !extra.name().equals(peer.st.name())) {
             first.add(extra);
         }
-        to(peer.st.address(), kind, question, about, first, 0, 0);
+        boolean agrees = peer.digest == roll.digest();
+        return send(peer.st.address(), kind, question, about, first, 0, List.of(), agrees, need);
     }
 
-    /** A word to an address. */
-    void to(String address, Kind kind, long question, String about, List<Statement> first, int page,
-            int pages) {
+    /** A word to an address; {@code pages} and {@code buckets} as in {@link Word}. */
+    boolean to(String address, Kind kind, long question, String about, List<Statement> first, int pages,
+            List<Integer> buckets, Need need) {
+        return send(address, kind, question, about, first, pages, buckets, false, need);
+    }
+
+    private boolean send(String address, Kind kind, long question, String about, List<Statement> first,
+            int pages, List<Integer> buckets, boolean agrees, Need need) {
         List<Statement> statements = new ArrayList<>();
         statements.add(self);
         statements.addAll(first);
         boolean living = self.incarnation() > 0;
-        if (living && kind != Kind.PAGE) {
-            rumours.fill(statements, settings.statements());
+        long digest = living ? roll.digest() : 0;
+        Word word = new Word(self.name(), self.incarnation(), kind, question, about, digest, statements, 0,
+            pages, buckets);
+        int size = word.bytes() + settings.datagramOver();
+        int left = budget.room(need, now) - size;
+        if (left < 0) {
+            return false;
+        }
+        if (living && kind != Kind.PAGE && buckets.isEmpty()) {
+            int news = Math.min(left, (budget.room(Need.NEWS, now) - size) / NEWS_PART);
+            if (rumours.fill(statements, settings.statements(), news, agrees)) {
+                word = new Word(self.name(), self.incarnation(), kind, question, about, digest, statements, 0,
+                    pages, buckets);
+                size = word.bytes() + settings.datagramOver();
+            }
+        }
+        if (!budget.take(need, size, now)) {
+            throw new IllegalStateException("a word of " + size + " bytes is over what was left");
         }
-        out.send(address, new Word(self.name(), self.incarnation(), kind, question, about,
-            living ? roll.digest() : 0, statements, page, pages));
+        out.send(address, word);
+        return true;
     }
 }
--- a/src/main/java/junipercourse/fleet/view/Prober.java
+++ b/src/main/java/junipercourse/fleet/view/Prober.java
@@ -6,34 +6,41 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import junipercourse.fleet.view.Budget.Need;
 import junipercourse.fleet.view.Word.Kind;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
- * Asks members in turn, suspects again and again, helpers where an answer is missing; and decides by that
- * who is suspect and who unreachable. Another's verdict never counts as ours: it only shortens how long we
- * try.
+ * Asks members in turn, and helpers where an answer is missing; who is silent twice in a row is suspect. A
+ * question that the budget held back, or for which no helper could be asked, proves nothing.
  */
 final class Prober {
-    /** Most suspects asked at one beat. */
-    private static final int SUSPECTS_A_BEAT = 8;
     /** Most questions open at once. */
     private static final int ROUNDS_MOST = 128;
-    /** Most questions of others that we pass on at once. */
-    private static final int RELAYS_MOST = 256;
-    /** Own tries without an answer before a suspect is called unreachable; one after another's verdict. */
-    private static final int FAILED_LEAST = 3;
-    private static final int FAILED_HEARSAY = 1;
+    /**
+     * Between two questions to a member in turn: who knows a few only, at the start of all, would else ask
+     * these for all that they can answer.
+     */
+    private static final double EACH_S = 0.5;
+    /** Who hears nobody asks less often, by so many intervals at most. */
+    private static final int SLOWER_MOST = 1;
+    /** Most members that we doubt ourselves at once: each takes some rounds with helpers. */
+    private static final int DOUBTED_MOST = 4;
+    /** Bytes that a round with helpers takes; nobody new is doubted without them. */
+    private static final int ROUND_BYTES = 500;
 
     private final Settings settings;
     private final Roll roll;
     private final Post post;
     private final UniformRandomProvider random;
+    private final Zones zones;
+    private final Suspects suspects;
     private final Map<Long, Round> rounds = new LinkedHashMap<>();
-    private final Map<Long, Relay> relays = new LinkedHashMap<>();
+    private final Relays relays;
     private final List<String> turn = new ArrayList<>();
     private double nextProbe;
     private double heardAny;
+    /** Local health score: 0 while we hear others. */
     private int health;
 
     private static final class Round {
@@ -49,11 +56,9 @@
         }
     }
 
-    private record Relay(String asker, long number, String about, double until) { }
-
-    /** Verdicts that are to be joined and passed on. */
+    /** Verdicts that are to be joined, and passed on or not. */
     interface Verdicts {
-        void say(Statement statement);
+        void say(Statement statement, boolean passOn);
     }
 
     Prober(Settings settings, Roll roll, Post post, UniformRandomProvider random) {
@@ -61,86 +66,75 @@
         this.roll = roll;
         this.post = post;
         this.random = random;
+        this.relays = new Relays(settings, roll, post);
+        this.zones = new Zones(settings.suspicionMin());
+        this.suspects = new Suspects(settings, roll, zones, random);
     }
 
     /** All begins anew: what was asked before counts for nothing, and silence is counted from now. */
     void restart(double now) {
         rounds.clear();
         relays.clear();
+        zones.restart();
         heardAny = now;
         nextProbe = now + random.nextDouble() * settings.probeInterval();
         for (Peer peer : roll.peers()) {
+            peer.doubted = false;
             if (peer.st.standing() == Standing.SUSPECT) {
                 suspected(peer, now);
             }
         }
     }
 
-    /** Local health score: 0 while we hear others. */
-    int health() {
-        return health;
-    }
-
     /** A peer has just become suspect, or its time begins anew. */
     void suspected(Peer peer, double now) {
-        peer.failed = 0;
-        peer.hearsay = false;
-        peer.nextTry = now;
-        peer.deadline = now + Math.min(settings.suspicionMax(), settings.suspicionMin() * (1 + health));
+        suspects.suspected(peer, health, now);
+    }
+
+    /** Somebody else calls him unreachable. */
+    void hearsay(Peer peer, double now) {
+        suspects.hearsay(peer, now);
     }
 
     /** A word of this member in its present life was read. */
     void heard(Peer peer, double now) {
         heardAny = now;
         peer.lastHeard = now;
+        peer.doubted = false;
+        zones.heard(peer.st.zone());
         if (peer.st.standing() == Standing.SUSPECT) {
             suspected(peer, now);
         }
     }
 
-    /** An answer: true if it was to a question of ours, directly or by a helper. */
-    boolean ack(long number, String about, double now) {
+    /** An answer, directly or by a helper, to a question of ours or to one that we passed on. */
+    void ack(long number, String about, double now) {
         Round round = rounds.get(number);
         if (round != null && !stale(round) && round.peer.st.name().equals(about)) {
             rounds.remove(number);
             health = Math.max(0, health - 1);
             heard(round.peer, now);
-            return true;
-        }
-        Relay relay = relays.get(number);
-        if (relay != null && relay.about.equals(about)) {
-            relays.remove(number);
-            Peer asker = roll.get(relay.asker);
-            Peer target = roll.get(about);
-            if (asker != null && target != null) {
-                post.toPeer(asker, Kind.ACK, relay.number, about, target.st);
-            }
-            return true;
+        } else {
+            relays.ack(number, about);
         }
-        return false;
     }
 
     /** Somebody wants us to ask another for him. */
     void relay(Peer asker, long number, String about, double now) {
-        Peer target = roll.get(about);
-        if (target == null || relays.size() >= RELAYS_MOST || about.equals(post.self().name())) {
-            return;
-        }
-        long mine = post.number();
-        relays.put(mine, new Relay(asker.st.name(), number, about, now + 10 * settings.probeTimeout()));
-        post.toPeer(target, Kind.PING, mine, about, null);
+        relays.relay(asker, number, about, now);
     }
 
     void tick(double now, Verdicts verdicts) {
-        relays.values().removeIf(relay -> now > relay.until);
+        relays.tick(now);
         rounds(now, verdicts);
-        suspects(now, verdicts);
+        suspects.tick(now - heardAny, now, (peer, at) -> ask(peer, at, Need.TRY), verdicts);
         if (now >= nextProbe) {
             Peer next = nextInTurn();
             if (next != null) {
-                ask(next, now);
+                ask(next, now, Need.PROBE);
             }
-            nextProbe = Math.max(nextProbe + settings.probeInterval(), now);
+            double wait = Math.max(settings.probeInterval(), EACH_S / Math.max(1, roll.present() - 1));
+            nextProbe = Math.max(nextProbe + wait * (1 + Math.min(health, SLOWER_MOST)), now);
         }
     }
 
@@ -154,63 +148,67 @@
                 all.remove();
             } else if (now - round.start >= 2 * timeout) {
                 all.remove();
-                silent.add(round);
-            } else if (!round.helped && now - round.start >= timeout) {
-                round.helped = true;
-                post.toPeer(round.peer, Kind.PING, entry.getKey(), round.peer.st.name(), null);
-                askHelpers(round.peer, entry.getKey());
-            }
-        }
-        for (Round round : silent) {
-            health = heardAny < round.start ? Math.min(settings.healthMost(), health + 1)
-                : Math.max(0, health - 1);
-            if (round.peer.st.standing() == Standing.SUSPECT) {
-                round.peer.failed++;
-            } else {
-                verdicts.say(round.peer.st.with(Standing.SUSPECT));
+                if (round.helped) {
+                    silent.add(round);
+                }
+            } else if (!round.helped && now - round.start >= timeout && mayDoubt(round.peer)) {
+                Peer peer = round.peer;
+                round.helped = peer.hearsay || askHelpers(peer, entry.getKey());
+                if (round.helped) {
+                    post.toPeer(peer, Kind.PING, entry.getKey(), peer.st.name(), null, Need.TRY);
+                }
             }
         }
+        silent.forEach(round -> silent(round, now, verdicts));
     }
 
-    /** The question is over: he has left, is forgotten, unreachable or in another life. */
-    private boolean stale(Round round) {
-        Statement st = round.peer.st;
-        return !st.present() || st.incarnation() != round.incarnation || roll.get(st.name()) != round.peer;
+    /** Whether there is room to find out about one more whom nobody else doubts. */
+    private boolean mayDoubt(Peer peer) {
+        if (peer.st.standing() == Standing.SUSPECT || peer.doubted) {
+            return true;
+        }
+        int doubted = 0;
+        for (Peer each : roll.peers()) {
+            doubted += each.doubted || each.ours ? 1 : 0;
+        }
+        return doubted < DOUBTED_MOST && post.room(Need.TRY) >= ROUND_BYTES;
     }
 
-    private void suspects(double now, Verdicts verdicts) {
-        double hush = now - heardAny;
-        boolean lonely = hush > 4 * settings.probeTimeout() && hush < settings.lonely();
-        double every = Math.min(0.4, Math.max(0.2, 0.02 * roll.size())) * settings.probeTimeout() / 0.1;
-        int asked = 0;
-        List<Peer> over = new ArrayList<>();
-        for (Peer peer : roll.peers()) {
-            if (peer.st.standing() != Standing.SUSPECT) {
-                continue;
-            }
-            if (!lonely && peer.failed >= (peer.hearsay ? FAILED_HEARSAY : FAILED_LEAST)
-                    && (peer.hearsay || now >= peer.deadline)) {
-                over.add(peer);
-            } else if (now >= peer.nextTry && asked < SUSPECTS_A_BEAT) {
-                asked++;
-                peer.nextTry = now + every;
-                ask(peer, now);
-            }
+    private void silent(Round round, double now, Verdicts verdicts) {
+        Peer peer = round.peer;
+        boolean alone = heardAny < round.start;
+        health = alone ? Math.min(settings.healthMost(), health + 1) : Math.max(0, health - 1);
+        if (!peer.hearsay) { // else no helper was asked
+            zones.failed(peer.st, round.start);
         }
-        for (Peer peer : over) {
-            verdicts.say(peer.st.with(Standing.UNREACHABLE));
+        if (peer.st.standing() == Standing.SUSPECT) {
+            peer.failed++;
+        } else if (peer.doubted || alone) { // who hears nobody has nobody to spare
+            peer.ours = true;
+            verdicts.say(peer.st.with(Standing.SUSPECT), true);
+        } else {
+            peer.doubted = true;
+            peer.nextTry = now;
         }
     }
 
-    private void ask(Peer peer, double now) {
+    /** The question is over: he has left, is forgotten, unreachable or in another life. */
+    private boolean stale(Round of) {
+        Statement st = of.peer.st;
+        return !st.present() || st.incarnation() != of.incarnation || roll.get(st.name()) != of.peer;
+    }
+
+    private boolean ask(Peer peer, double now, Need need) {
         long number = post.number();
-        if (rounds.size() < ROUNDS_MOST) {
+        boolean sent = post.toPeer(peer, Kind.PING, number, peer.st.name(), null, need);
+        if (sent && rounds.size() < ROUNDS_MOST) {
             rounds.put(number, new Round(peer, now));
         }
-        post.toPeer(peer, Kind.PING, number, peer.st.name(), null);
+        return sent;
     }
 
-    private void askHelpers(Peer target, long number) {
+    /** Whether one at least was asked, or there is none. */
+    private boolean askHelpers(Peer target, long number) {
         List<Peer> helpers = new ArrayList<>();
         for (Peer peer : roll.peers()) {
             if (peer.st.standing() == Standing.ALIVE && peer != target && !isSelf(peer)) {
@@ -219,20 +217,23 @@
         }
         for (int i = 0; i < settings.indirectProbes() && i < helpers.size(); i++) {
             Collections.swap(helpers, i, i + random.nextInt(helpers.size() - i));
-            post.toPeer(helpers.get(i), Kind.PING_REQ, number, target.st.name(), target.st);
+            if (!post.toPeer(helpers.get(i), Kind.PING_REQ, number, target.st.name(), target.st, Need.TRY)) {
+                return i > 0;
+            }
         }
+        return true;
     }
 
     private boolean isSelf(Peer peer) {
         return peer.st.name().equals(post.self().name());
     }
 
-    /** Each member once, in an order drawn anew each time around. */
+    /** Each member that is not suspect once, in an order drawn anew each time around. */
     private Peer nextInTurn() {
         for (int tries = 0; tries < 2; tries++) {
             while (!turn.isEmpty()) {
                 Peer peer = roll.get(turn.remove(turn.size() - 1));
-                if (peer != null && peer.st.present() && !isSelf(peer)) {
+                if (peer != null && peer.st.standing() == Standing.ALIVE && !isSelf(peer)) {
                     return peer;
                 }
             }
--- a/src/main/java/junipercourse/fleet/view/Roll.java
+++ b/src/main/java/junipercourse/fleet/view/Roll.java
@@ -1,7 +1,5 @@
 package junipercourse.fleet.view;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -9,7 +7,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import net.openhft.hashing.LongHashFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -17,14 +14,15 @@
  * grows in the order of statements; bounded by {@link Settings#members} and {@link Settings#tombs}.
  */
 final class Roll {
-    private static final int TEXTS = Statement.NAME_MOST + Statement.ADDRESS_MOST + Statement.ZONE_MOST;
-    private static final LongHashFunction HASH = LongHashFunction.xx3();
+    /** As many distinct members as {@link #agreed} asks for where there are more. */
+    static final int SAMPLE = 24;
+    /** A word of a sample must not be older. */
+    static final double SAMPLE_S = 2.5;
 
     private final Settings settings;
     private final TreeMap<String, Peer> peers = new TreeMap<>();
     private final Map<String, Statement> tombs = new LinkedHashMap<>();
-    private long digest;
-    private boolean digestOld = true;
+    private final Digest digest = new Digest();
     private int present;
     /** Put in by tests alone. */
     boolean oldWordsBelieved;
@@ -35,8 +33,10 @@
         OLD,
         /** We know it. */
         SAME,
-        /** It is the greatest now. */
+        /** It is the greatest now, and the digest shows it. */
         NEWS,
+        /** It is the greatest now, of which the digest shows nothing. */
+        DETAIL,
         /** There is no place for another member. */
         FULL
     }
@@ -60,9 +60,6 @@
 
     /** Members that are not unreachable and have not left. */
     int present() {
-        if (digestOld) {
-            digest();
-        }
         return present;
     }
 
@@ -78,15 +75,26 @@
         return drawn;
     }
 
-    /** Whether the last word of every present member but {@code self} bore our digest. */
-    boolean agreed(String self) {
+    /**
+     * Whether the last word of every present member but {@code self} bore our digest; in a fleet of over
+     * {@link #SAMPLE} others, that of every one heard of late, and of at least so many. To hear each of them
+     * would cost words for every pair of members.
+     */
+    boolean agreed(String self, double now) {
         long ours = digest();
+        boolean each = present - 1 <= SAMPLE;
+        int agreeing = 0;
         for (Peer peer : peers.values()) {
-            if (peer.st.present() && peer.digest != ours && !peer.st.name().equals(self)) {
+            if (!peer.st.present() || peer.st.name().equals(self)) {
+                continue;
+            }
+            boolean fresh = now - peer.toldAt <= SAMPLE_S;
+            if (peer.digest != ours && (each || fresh)) {
                 return false;
             }
+            agreeing += fresh && peer.digest == ours ? 1 : 0;
         }
-        return true;
+        return each || agreeing >= SAMPLE;
     }
 
     /** All members as a snapshot shows them. */
@@ -112,31 +120,37 @@
             return order < 0 ? Joined.OLD : Joined.SAME;
         }
         Peer peer = peers.get(next.name());
+        long before = digest.value();
         if (next.forgotten() || peer == null && next.standing() == Standing.LEFT) {
             bury(next);
-            return Joined.NEWS;
+            return before == digest.value() ? Joined.DETAIL : Joined.NEWS;
         }
         if (peer == null && peers.size() >= settings.members() && !makeRoom()) {
             return Joined.FULL;
         }
-        digestOld |= peer == null || !sameInDigest(peer.st, next);
         if (peer == null) {
             tombs.remove(next.name());
-            peers.put(next.name(), new Peer(next, now));
+            peer = new Peer(next, Digest.bucket(next.name()), now);
+            peers.put(next.name(), peer);
         } else {
+            remove(peer);
             peer.set(next, now);
         }
-        return Joined.NEWS;
+        present += next.present() ? 1 : 0;
+        digest.add(peer);
+        return before == digest.value() ? Joined.DETAIL : Joined.NEWS;
     }
 
-    private static boolean sameInDigest(Statement one, Statement other) {
-        return one.incarnation() == other.incarnation() && one.present() == other.present()
-            && one.standing() == Standing.LEFT == (other.standing() == Standing.LEFT)
-            && one.address().equals(other.address()) && one.zone().equals(other.zone());
+    private void remove(Peer peer) {
+        present -= peer.st.present() ? 1 : 0;
+        digest.remove(peer);
     }
 
     private void bury(Statement last) {
-        digestOld |= peers.remove(last.name()) != null;
+        Peer gone = peers.remove(last.name());
+        if (gone != null) {
+            remove(gone);
+        }
         tombs.remove(last.name());
         tombs.put(last.name(), last);
         if (tombs.size() > settings.tombs()) {
@@ -170,29 +184,33 @@
         return due;
     }
 
-    /** Hash over what must agree between members; never 0. */
-    long digest() {
-        if (digestOld) {
-            ByteBuffer bytes = ByteBuffer.allocate(peers.size() * (TEXTS + 12));
-            present = 0;
-            for (Peer peer : peers.values()) {
-                Statement st = peer.st;
-                present += st.present() ? 1 : 0;
-                if (st.standing() != Standing.LEFT) {
-                    bytes.putLong(st.incarnation()).put((byte) (st.present() ? 1 : 0));
-                    text(bytes, st.name());
-                    text(bytes, st.address());
-                    text(bytes, st.zone());
-                }
+    /**
+     * What is to be told to who has these digests: of each bucket where ours differ all members, and all that
+     * are forgotten, whom he may hold for members.
+     */
+    List<Statement> differing(List<Integer> theirs) {
+        Predicate<String> differs = digest.differing(theirs);
+        List<Statement> differing = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            if (differs.test(peer.st.name())) {
+                differing.add(peer.st);
             }
-            long hash = HASH.hashBytes(bytes.array(), 0, bytes.position());
-            digest = hash == 0 ? 1 : hash;
-            digestOld = false;
         }
+        for (Statement tomb : tombs.values()) {
+            if (differs.test(tomb.name())) {
+                differing.add(tomb);
+            }
+        }
+        return differing;
+    }
+
+    /** What must agree between members. */
+    Digest digests() {
         return digest;
     }
 
-    private static void text(ByteBuffer bytes, String text) {
-        bytes.put((byte) text.length()).put(text.getBytes(StandardCharsets.US_ASCII));
+    /** Its value over all members; never 0. */
+    long digest() {
+        return digest.value();
     }
 }
--- a/src/main/java/junipercourse/fleet/view/Settings.java
+++ b/src/main/java/junipercourse/fleet/view/Settings.java
@@ -25,11 +25,19 @@
  * @param tombs most forgotten lives kept as a floor against old words; the oldest go first
  * @param statements most statements in a word
  * @param lambda each news is passed on {@code lambda * ln(members + 1)} times
+ * @param bytesASecond most bytes sent in any second, headers of the network among them
+ * @param datagramOver bytes of a datagram beyond its word: headers of the network and the fleet's name
  */
 public record Settings(double beat, double probeInterval, double probeTimeout, int indirectProbes,
         double suspicionMin, double suspicionMax, int healthMost, double lonely, double reachInterval,
         double syncInterval, double joinWait, double joinMost, double rivalWait, double forgetUnreachable,
-        double forgetLeft, int members, int tombs, int statements, double lambda) {
+        double forgetLeft, int members, int tombs, int statements, double lambda,
+        int bytesASecond, int datagramOver) {
+    /** IPv4 and UDP headers. */
+    public static final int HEADERS = 28;
+    /** With less a member could not answer those who ask for it. */
+    public static final int BYTES_LEAST = 3000;
+    private static final int BYTES_MOST = 10_000_000;
     /** Most members that a view can be set to. */
     public static final int MEMBERS_MOST = 1000;
 
@@ -54,6 +62,8 @@
         within("members", members, 2, MEMBERS_MOST);
         within("tombs", tombs, 1, 4 * MEMBERS_MOST);
         within("statements", statements, 3, Word.STATEMENTS_MOST);
+        within("bytesASecond", bytesASecond, BYTES_LEAST, BYTES_MOST);
+        within("datagramOver", datagramOver, 0, HEADERS + Statement.NAME_MOST);
     }
 
     private static void above(String key, double value, double bound) {
@@ -72,7 +82,7 @@
     /** For a network whose answers come within a tenth of a second. */
     public static Settings defaults() {
         return new Settings(0.05, 0.1, 0.1, 3, 1.1, 10, 8, 10, 0.5, 0.5, 0.5, 2, 3, 3600, 60, MEMBERS_MOST,
-            2 * MEMBERS_MOST, Word.STATEMENTS_MOST, 3);
+            2 * MEMBERS_MOST, Word.STATEMENTS_MOST, 3, 6000, HEADERS + Statement.NAME_MOST);
     }
 
     /** How many times a news is passed on among so many members. */
--- a/src/main/java/junipercourse/fleet/view/Statement.java
+++ b/src/main/java/junipercourse/fleet/view/Statement.java
@@ -23,8 +23,9 @@
     public static final int ADDRESS_MOST = 48;
     /** Most characters of a zone. */
     public static final int ZONE_MOST = 40;
-    /** What a statement takes in a datagram beyond its texts: tags, lengths, two numbers, the standing. */
+    /** Most that a statement takes in a datagram beyond its texts: tags, lengths, two numbers, standing. */
     static final int BYTES_OVER = 32;
+    private static final int VARINT_BITS = 7;
 
     /**
      * Fails with IllegalArgumentException, naming the key, for texts that are too long or not plain ASCII.
@@ -72,9 +73,16 @@
         return standing == Standing.ALIVE || standing == Standing.SUSPECT;
     }
 
-    /** Most bytes that it takes in a datagram. */
+    /** Bytes that it takes in a datagram, its own tag and length among them. */
     public int bytes() {
-        return BYTES_OVER + name.length() + address.length() + zone.length();
+        int content = 2 + name.length() + 1 + varint(incarnation) + 1 + varint(version) + 2 + 2
+            + address.length() + 2 + zone.length();
+        return 1 + varint(content) + content;
+    }
+
+    /** Bytes of a whole number in protobuf's form, which takes seven bits a byte. */
+    static int varint(long number) {
+        return (Long.SIZE - Long.numberOfLeadingZeros(number | 1) + VARINT_BITS - 1) / VARINT_BITS;
     }
 
     Statement with(Standing next) {
--- a/src/main/java/junipercourse/fleet/view/Sync.java
+++ b/src/main/java/junipercourse/fleet/view/Sync.java
@@ -2,114 +2,90 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import junipercourse.fleet.view.Budget.Need;
 import junipercourse.fleet.view.Word.Kind;
+import org.apache.commons.rng.UniformRandomProvider;
 
 /**
- * Pages of a view: cuts our own into datagrams, and pulls those of a member whose digest differs from ours,
- * one page after the other, from one member at a time. Each side pulls for itself.
+ * Compares views: a member whose digest differs from ours is sent our digests by bucket and tells what it
+ * knows of those that differ, as far as one datagram and its budget go. Each side pulls for itself.
  */
 final class Sync {
-    /** Most pages told in a second, to all together. */
-    private static final double TOLD_A_SECOND = 200;
-    /** How often a page is asked for before the pull is given up. */
-    private static final int TRIES_MOST = 4;
+    /** Who has no members to compare is told of so many of ours, to begin with. */
+    private static final int TO_NEWCOMERS = 8;
 
     private final Settings settings;
     private final Roll roll;
     private final Post post;
-    private String from;
+    private final UniformRandomProvider random;
     private long number;
-    private int page;
-    private int tries;
-    private double askedAt;
     private double nextPull;
-    private double told;
-    private double toldAt;
+    /** So many the last answer spoke of. */
+    private int members;
 
-    Sync(Settings settings, Roll roll, Post post) {
+    Sync(Settings settings, Roll roll, Post post, UniformRandomProvider random) {
         this.settings = settings;
         this.roll = roll;
         this.post = post;
-    }
-
-    /** Gives up what is being pulled. */
-    void restart() {
-        from = null;
+        this.random = random;
     }
 
     /** A member's word bore another digest than ours. */
     void differs(Peer peer, double now) {
-        if (from == null && now >= nextPull) {
-            nextPull = now + settings.syncInterval();
-            from = peer.st.name();
-            number = post.number();
-            page = 0;
-            tries = 0;
-            ask(peer, now);
+        if (now < nextPull) {
+            return;
         }
-    }
-
-    private void ask(Peer peer, double now) {
-        askedAt = now;
-        tries++;
-        post.to(peer.st.address(), Kind.ASK_PAGE, number, "", List.of(), page, 0);
-    }
-
-    /** A page came: the next one is asked for. */
-    void page(Word word, double now) {
-        if (word.from().equals(from) && word.number() == number && word.page() == page) {
-            page++;
-            tries = 0;
-            Peer peer = roll.get(from);
-            if (page >= word.pages() || peer == null) {
-                from = null;
-            } else {
-                ask(peer, now);
-            }
+        long question = post.number();
+        boolean newcomer = roll.size() < members / 2;
+        List<Integer> buckets = roll.digests().buckets(Math.max(roll.size(), members));
+        if (post.to(peer.st.address(), Kind.ASK_PAGE, question, "", List.of(), 0, buckets,
+                newcomer ? Need.PROBE : Need.RECONCILE)) {
+            number = question;
+            nextPull = now + settings.syncInterval();
         }
     }
 
-    void tick(double now) {
-        if (from != null && now - askedAt > 2 * settings.probeTimeout()) {
-            Peer peer = roll.get(from);
-            if (peer == null || !peer.st.present() || tries >= TRIES_MOST) {
-                from = null;
-            } else {
-                ask(peer, now);
-            }
+    /** What differs has come; if not all of it, the next member that differs is asked at once. */
+    void page(Word word) {
+        if (word.number() == number && word.pages() > 1) {
+            nextPull = Double.NEGATIVE_INFINITY;
+            members = Math.min(settings.members(), word.pages() * word.statements().size());
         }
     }
 
-    /** Answers a question for a page; what is known of {@code about} comes first, if it names somebody. */
-    void tell(String address, Word question, double now) {
-        told = Math.max(0, told - (now - toldAt) * TOLD_A_SECOND);
-        toldAt = now;
-        if (told >= TOLD_A_SECOND) {
+    /** Answers; what is known of {@code about} comes first, if it names somebody. */
+    void tell(String address, Word question) {
+        boolean newcomer = question.buckets().isEmpty();
+        Need need = newcomer ? Need.PROBE : Need.RECONCILE;
+        int room = Math.min(post.room(need), Word.STATEMENT_BYTES - post.self().bytes());
+        if (room < 0) {
             return;
         }
-        told++;
+        List<Statement> of = new ArrayList<>();
+        if (newcomer) {
+            roll.peers().forEach(peer -> of.add(peer.st));
+        } else {
+            of.addAll(roll.differing(question.buckets()));
+        }
         List<Statement> first = new ArrayList<>();
         Statement known = question.about().isEmpty() ? null : roll.known(question.about());
         if (known != null) {
             first.add(known);
+            room -= known.bytes();
         }
-        int room = Word.STATEMENT_BYTES - post.self().bytes() - (known == null ? 0 : known.bytes());
-        int most = settings.statements() - 2;
-        int pages = 0;
-        int count = 0;
-        int bytes = 0;
-        for (Peer peer : roll.peers()) {
-            if (count == most || bytes + peer.st.bytes() > room) {
-                pages++;
-                count = 0;
-                bytes = 0;
-            }
-            count++;
-            bytes += peer.st.bytes();
-            if (pages == question.page()) {
-                first.add(peer.st);
+        int most = newcomer ? TO_NEWCOMERS : settings.statements() - 2;
+        int from = of.isEmpty() ? 0 : random.nextInt(of.size());
+        int told = 0;
+        while (told < of.size() && first.size() < most) {
+            Statement next = of.get((from + told) % of.size());
+            room -= next.bytes();
+            if (room < 0) {
+                break;
             }
+            first.add(next);
+            told++;
         }
-        post.to(address, Kind.PAGE, question.number(), question.about(), first, question.page(), pages + 1);
+        int pages = 1 + (of.size() - told) / Math.max(1, told);
+        post.to(address, Kind.PAGE, question.number(), question.about(), first, pages, List.of(), need);
     }
 }
--- a/src/main/java/junipercourse/fleet/view/View.java
+++ b/src/main/java/junipercourse/fleet/view/View.java
@@ -1,6 +1,7 @@
 package junipercourse.fleet.view;
 
 import java.util.List;
+import junipercourse.fleet.view.Budget.Need;
 import junipercourse.fleet.view.Word.Kind;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.SplitMix64;
@@ -23,6 +24,7 @@
     private final List<String> seeds;
     private final Roll roll;
     private final Post post;
+    private final Rumours rumours = new Rumours();
     private final Prober prober;
     private final Sync sync;
     private final Life life;
@@ -60,11 +62,10 @@
         this.seeds.forEach(each -> Statement.text("seed", each, Statement.ADDRESS_MOST, 1));
         this.out = out;
         UniformRandomProvider random = new SplitMix64(seed);
-        Rumours rumours = new Rumours();
         this.roll = new Roll(settings);
         this.post = new Post(settings, roll, rumours, out);
         this.prober = new Prober(settings, roll, post, random);
-        this.sync = new Sync(settings, roll, post);
+        this.sync = new Sync(settings, roll, post, random);
         Statement none = new Statement(name, 0, 0, Standing.ALIVE, address, zone);
         this.life = new Life(settings, roll, post, none, this.seeds, random, out);
         this.learner = new Learner(settings, roll, rumours, post, prober, life, out);
@@ -83,6 +84,7 @@
             throw new IllegalStateException("was started");
         }
         due = now;
+        post.at(now);
         life.start(now);
         tick(now);
     }
@@ -97,6 +99,7 @@
         if (left || due == Double.POSITIVE_INFINITY) {
             return;
         }
+        post.at(now);
         String name = post.self().name();
         boolean namesake = word.from().equals(name);
         for (Statement statement : word.statements()) {
@@ -109,16 +112,16 @@
         if (!life.living()) {
             life.heard(word, now);
             if (word.kind() == Kind.ASK_PAGE && !namesake) {
-                sync.tell(answer, word, now);
+                sync.tell(answer, word);
             }
         } else if (namesake) {
             if (word.kind() == Kind.PING && !answer.equals(post.self().address())) {
                 life.namesake(word.statements().get(0), now);
-                post.to(answer, Kind.ACK, word.number(), name, List.of(), 0, 0);
+                post.to(answer, Kind.ACK, word.number(), name, List.of(), 0, List.of(), Need.ANSWER);
             }
         } else if (word.fromIncarnation() == 0) {
             if (word.kind() == Kind.ASK_PAGE) {
-                sync.tell(answer, word, now);
+                sync.tell(answer, word);
             }
         } else {
             heardMember(answer, word, now);
@@ -132,25 +135,27 @@
         boolean older = known != null && word.fromIncarnation() < known.incarnation();
         if (peer == null || peer.st.incarnation() != word.fromIncarnation()) {
             if (known != null && (older || peer == null)) { // an ended or forgotten life: it is told so
-                post.to(answer, Kind.ACK, word.number(), known.name(), List.of(known), 0, 0);
+                post.to(answer, Kind.ACK, word.number(), known.name(), List.of(known), 0, List.of(),
+                    Need.ANSWER);
             }
             return;
         }
         prober.heard(peer, now);
         peer.digest = word.digest();
+        peer.toldAt = now;
         if (word.digest() != roll.digest()) {
             sync.differs(peer, now);
         }
         switch (word.kind()) {
             case PING -> {
                 if (word.about().equals(post.self().name())) {
-                    post.toPeer(peer, Kind.ACK, word.number(), word.about(), null);
+                    post.toPeer(peer, Kind.ACK, word.number(), word.about(), null, Need.ANSWER);
                 }
             }
             case ACK -> prober.ack(word.number(), word.about(), now);
             case PING_REQ -> prober.relay(peer, word.number(), word.about(), now);
-            case ASK_PAGE -> sync.tell(answer, word, now);
-            default -> sync.page(word, now);
+            case ASK_PAGE -> sync.tell(answer, word);
+            default -> sync.page(word);
         }
     }
 
@@ -163,16 +168,16 @@
             return;
         }
         due = Math.max(due, now) + settings.beat();
+        post.at(now);
         if (left) {
-            sayFarewell();
+            due = calls.farewell() ? Double.POSITIVE_INFINITY : due;
         } else if (!life.living()) {
             if (life.tick(now)) {
                 learner.own(life.begin(), now);
                 prober.restart(now);
             }
         } else {
-            prober.tick(now, statement -> learner.join(statement, now));
-            sync.tick(now);
+            prober.tick(now, (statement, passOn) -> learner.join(statement, passOn, now));
             calls.reach(now);
             calls.askDiffering(now);
             forget(now);
@@ -183,7 +188,7 @@
     private void forget(double now) {
         if (now >= nextForget) {
             nextForget = now + FORGET_EVERY_S;
-            roll.due(now).forEach(statement -> learner.join(statement, now));
+            roll.due(now).forEach(statement -> learner.join(statement, true, now));
         }
     }
 
@@ -195,7 +200,6 @@
         due = Math.max(due, now);
         if (faults != Faults.STALL_HELD_AGAINST_OTHERS) {
             prober.restart(now);
-            sync.restart();
             life.stalled(now);
         }
     }
@@ -206,11 +210,12 @@
             return;
         }
         left = true;
+        post.at(now);
         if (life.living()) {
             Statement self = post.self();
             post.self(self.with(self.version() + 2).with(Standing.LEFT));
             learner.own(post.self(), now);
-            sayFarewell();
+            due = calls.farewell() ? Double.POSITIVE_INFINITY : due;
         } else {
             due = Double.POSITIVE_INFINITY;
         }
@@ -224,15 +229,12 @@
         return life.rival(at);
     }
 
-    private void sayFarewell() {
-        if (calls.farewell()) {
-            due = Double.POSITIVE_INFINITY;
-        }
-    }
-
     private void tell(double now) {
         at = now;
-        boolean agreed = life.living() && roll.agreed(post.self().name());
+        boolean agreed = life.living() && roll.agreed(post.self().name(), now);
+        if (agreed) {
+            rumours.settled();
+        }
         if (learner.changed() || agreed != settled) {
             settled = agreed;
             out.changed(snapshot());
@@ -241,7 +243,7 @@
 
     /** What is known now. */
     public Snapshot snapshot() {
-        return new Snapshot(post.self().member(), roll.seen(), roll.digest(),
-            life.living() && roll.agreed(post.self().name()), at);
+        boolean agreed = life.living() && roll.agreed(post.self().name(), at);
+        return new Snapshot(post.self().member(), roll.seen(), roll.digest(), agreed, at);
     }
 }
--- a/src/main/java/junipercourse/fleet/view/Word.java
+++ b/src/main/java/junipercourse/fleet/view/Word.java
@@ -13,11 +13,15 @@
  *     ASK_PAGE}, {@code PAGE}: the name that the answer must tell of first, or empty
  * @param digest of the sender's view; 0 while it has no life
  * @param statements at most {@link #STATEMENTS_MOST}, together at most {@link #STATEMENT_BYTES} bytes
- * @param page number of the page asked for or sent, from 0
- * @param pages how many pages the sender's view has; 0 in words that are no page
+ * @param page 0; earlier versions numbered their pages
+ * @param pages {@code PAGE}: how many such words all that differs would take; 0 in other words
+ * @param buckets {@code ASK_PAGE}: digests of the sender's members by {@link Roll#bucket}, a power of two of
+ *     them, so that only what differs is told; none if the sender has no members to compare
  */
 public record Word(String from, long fromIncarnation, Kind kind, long number, String about, long digest,
-        List<Statement> statements, int page, int pages) {
+        List<Statement> statements, int page, int pages, List<Integer> buckets) {
+    /** Most digests in a word. */
+    public static final int BUCKETS_MOST = 64;
     /**
      * Most bytes of all statements in a word, as {@link Statement#bytes} counts. A datagram has 1,200
      * bytes; 40 go to the fleet's name, 40 to the sender's, 40 to {@code about}, 80 to numbers, checksum
@@ -27,6 +31,12 @@
     /** Most statements in a word: as many of the shortest texts as {@link #STATEMENT_BYTES} hold. */
     public static final int STATEMENTS_MOST = STATEMENT_BYTES / (Statement.BYTES_OVER + 2);
 
+    /**
+     * Checksum, tag and length of the fleet's name, version (two fields of one byte), the tags of all other
+     * fields with the lengths of two texts, kind and digest.
+     */
+    private static final int OVER = 4 + 2 + 4 + 8 + 2 + 1 + 8;
+
     /** What a word is for. */
     public enum Kind {
         /** Are you there? */
@@ -35,9 +45,9 @@
         ACK,
         /** Ask {@code about} for me. */
         PING_REQ,
-        /** Tell me a page of your view. */
+        /** Tell me what differs in your view. */
         ASK_PAGE,
-        /** One page of the sender's view. */
+        /** What differs, as far as it fits. */
         PAGE
     }
 
@@ -46,18 +56,34 @@
         Statement.text("from", from, Statement.NAME_MOST, 1);
         Statement.text("about", about, Statement.NAME_MOST, 0);
         statements = List.copyOf(statements);
+        buckets = List.copyOf(buckets);
         if (kind == null) {
             throw new IllegalArgumentException("kind: is missing");
         }
         if (fromIncarnation < 0 || page < 0 || pages < 0) {
             throw new IllegalArgumentException("fromIncarnation, page, pages: none may be below 0");
         }
-        if (statements.size() > STATEMENTS_MOST || bytes(statements) > STATEMENT_BYTES) {
-            throw new IllegalArgumentException("statements: " + statements.size() + " of " + bytes(statements)
-                + " bytes do not fit a datagram");
+        if (buckets.size() > BUCKETS_MOST || Integer.bitCount(buckets.size()) > 1) {
+            throw new IllegalArgumentException("buckets: a power of two up to " + BUCKETS_MOST
+                + " is allowed, got " + buckets.size());
+        }
+        int bytes = bytes(statements) + bytesOfBuckets(buckets.size());
+        if (statements.size() > STATEMENTS_MOST || bytes > STATEMENT_BYTES) {
+            throw new IllegalArgumentException("statements: " + statements.size() + " of " + bytes
+                + " bytes with the buckets do not fit a datagram");
         }
     }
 
+    /** A word without buckets. */
+    public Word(String from, long fromIncarnation, Kind kind, long number, String about, long digest,
+            List<Statement> statements, int page, int pages) {
+        this(from, fromIncarnation, kind, number, about, digest, statements, page, pages, List.of());
+    }
+
+    private static int bytesOfBuckets(int count) {
+        return count == 0 ? 0 : 1 + Statement.varint(Integer.BYTES * count) + Integer.BYTES * count;
+    }
+
     private static int bytes(List<Statement> statements) {
         int sum = 0;
         for (Statement statement : statements) {
@@ -66,8 +92,10 @@
         return sum;
     }
 
-    /** Most bytes of its datagram, without the fleet's name. */
+    /** Bytes of its datagram, without the fleet's name and the headers of the network. */
     public int bytes() {
-        return 80 + from.length() + about.length() + bytes(statements);
+        return OVER + from.length() + Statement.varint(fromIncarnation) + Statement.varint(number)
+            + about.length() + Statement.varint(page) + Statement.varint(pages) + bytes(statements)
+            + bytesOfBuckets(buckets.size());
     }
 }
--- a/src/main/java/junipercourse/product/FleetReader.java
+++ b/src/main/java/junipercourse/product/FleetReader.java
@@ -69,7 +69,8 @@
             address(advertise);
         }
         return new FleetPart(all.get("name"), listen, advertise == null ? all.get("listen") : advertise,
-                all.getOrDefault("zone", ""), List.copyOf(seeds), bounds(), view());
+                all.getOrDefault("zone", ""), List.copyOf(seeds), bounds(),
+                view(all.get("name")));
     }
 
     private static InetSocketAddress address(String text) {
@@ -84,7 +85,7 @@
                 (int) value("bounds", "ring", Double::parseDouble, DEFAULT.ring()));
     }
 
-    private Settings view() {
+    private Settings view(String name) {
         Settings d = Settings.defaults();
         return new Settings(d.beat(), time("probe-interval", d.probeInterval()),
                 time("probe-timeout", d.probeTimeout()), d.indirectProbes(),
@@ -93,7 +94,8 @@
                 time("sync-interval", d.syncInterval()), d.joinWait(), d.joinMost(), d.rivalWait(),
                 time("forget-unreachable", d.forgetUnreachable()), time("forget-left", d.forgetLeft()),
                 (int) value("bounds", "members", Double::parseDouble, d.members()), d.tombs(), d.statements(),
-                d.lambda());
+                d.lambda(), (int) value("bounds", "budget", Units::bytesPerSecond, d.bytesASecond()),
+                Settings.HEADERS + name.length());
     }
 
     private double time(String key, double fallback) {
--- a/src/test/java/junipercourse/fleet/link/CodecTest.java
+++ b/src/test/java/junipercourse/fleet/link/CodecTest.java
@@ -31,7 +31,11 @@
     /** A word as full as its own bounds allow, so that the datagram's bound is met. */
     private static Word word(Random random) {
         List<Statement> statements = new ArrayList<>();
-        int bytes = 0;
+        List<Integer> buckets = new ArrayList<>();
+        for (int i = random.nextBoolean() ? 0 : 1 << random.nextInt(7); i > 0; i--) {
+            buckets.add(random.nextInt());
+        }
+        int bytes = buckets.isEmpty() ? 0 : 3 + 4 * buckets.size();
         for (int i = random.nextInt(Word.STATEMENTS_MOST + 1); i > 0; i--) {
             Statement s = new Statement(text(random, 1, 40), random.nextLong() >>> 1, random.nextLong() >>> 1,
                     Standing.values()[random.nextInt(4)], text(random, 1, 48), text(random, 0, 40));
@@ -42,17 +46,19 @@
         }
         return new Word(text(random, 1, 40), random.nextLong() >>> 1,
                 Word.Kind.values()[random.nextInt(5)], random.nextLong(), text(random, 0, 40),
-                random.nextLong(), statements, random.nextInt(100), random.nextInt(100));
+                random.nextLong(), statements, random.nextInt(100), random.nextInt(100), buckets);
     }
 
     @Property(tries = 2000, seed = "28")
     void everyWordFitsComesBackAndNoDamageIsTaken(@ForAll long seed) {
         Random random = new Random(seed);
-        Codec codec = new Codec(text(random, 1, 40));
+        String fleet = text(random, 1, 40);
+        Codec codec = new Codec(fleet);
         Word word = word(random);
         ByteBuffer bytes = ByteBuffer.allocate(Codec.MOST_BYTES);
         assertTrue(codec.write(word, bytes), () -> "does not fit: " + word);
         assertEquals(new Codec.Read(word, null), codec.read(bytes));
+        assertEquals(bytes.limit(), word.bytes() + fleet.length(), "the view's budget counts just these");
         int bit = random.nextInt(bytes.limit() * 8);
         bytes.rewind().put(bit / 8, (byte) (bytes.get(bit / 8) ^ 1 << bit % 8));
         assertEquals(Refusal.DAMAGED, codec.read(bytes).refusal());
--- a/src/test/java/junipercourse/fleet/view/Bounds.java
+++ b/src/test/java/junipercourse/fleet/view/Bounds.java
@@ -4,6 +4,8 @@
 final class Bounds {
     private int members = 1000;
     private double forget = 3600;
+    private int budget = Settings.defaults().bytesASecond();
+    private int over = Settings.defaults().datagramOver();
 
     Bounds members(int most) {
         members = most;
@@ -15,12 +17,23 @@
         return this;
     }
 
+    Bounds budget(int bytesASecond) {
+        budget = bytesASecond;
+        return this;
+    }
+
+    /** As in a fleet whose name has so many characters. */
+    Bounds fleetName(int characters) {
+        over = Settings.HEADERS + characters;
+        return this;
+    }
+
     Settings settings() {
         Settings usual = Settings.defaults();
         return new Settings(usual.beat(), usual.probeInterval(), usual.probeTimeout(), usual.indirectProbes(),
             usual.suspicionMin(), usual.suspicionMax(), usual.healthMost(), usual.lonely(),
             usual.reachInterval(), usual.syncInterval(), usual.joinWait(), usual.joinMost(),
             usual.rivalWait(), forget, Math.min(forget, usual.forgetLeft()), members, usual.tombs(),
-            usual.statements(), usual.lambda());
+            usual.statements(), usual.lambda(), budget, over);
     }
 }
--- /dev/null
+++ b/src/test/java/junipercourse/fleet/view/VirtualScale.java
@@ -0,0 +1,249 @@
+package junipercourse.fleet.view;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
+
+/**
+ * The plays of the scale run under the virtual clock, as a second witness: five zones, two regions of which
+ * the first holds the zones 0 and 1 and the first half of zone 2, three seeds.
+ */
+final class VirtualScale {
+    /** Told of each play that has ended. */
+    interface Sink {
+        void add(String play, int size, String figure, String unit, double median, double worst, int count);
+    }
+
+    private static final int ZONES = 5;
+    private static final double STEP_S = 0.25;
+    private static final double MOST_S = 60;
+    private final World world;
+    private final int size;
+    private final Sink sink;
+    private final Map<String, World.Process> byName = new HashMap<>();
+    private double from;
+    private long falseVerdicts;
+
+    VirtualScale(Settings settings, int size, long seed, Sink sink) {
+        world = new World(seed);
+        world.settings = settings;
+        world.judged = false;
+        this.size = size;
+        this.sink = sink;
+        List<String> seeds = IntStream.range(0, 3).mapToObj(VirtualScale::address).toList();
+        for (int i = 0; i < size; i++) {
+            world.add("n" + i, address(i), "z" + i * ZONES / size, seeds);
+        }
+        world.processes.forEach(process -> byName.put(process.name, process));
+    }
+
+    private static String address(int number) {
+        return "127.1." + number / 200 + "." + (number % 200 + 1) + ":7400";
+    }
+
+    private List<World.Process> zone(int zone) {
+        return world.processes.stream().filter(p -> size(p) * ZONES / size == zone).toList();
+    }
+
+    private static int size(World.Process process) {
+        return Integer.parseInt(process.name.substring(1));
+    }
+
+    private boolean first(World.Process process) {
+        return size(process) < size / 2;
+    }
+
+    private boolean apart(World.Process one, World.Process other) {
+        return world.cuts.getOrDefault(one.address, Set.of()).contains(other.address);
+    }
+
+    void play(Set<String> plays) {
+        begin();
+        world.processes.forEach(World.Process::start);
+        end("start", settle());
+        world.run(5);
+        if (plays.contains("calm")) {
+            begin();
+            steps(20);
+            end("calm", 0);
+        }
+        if (plays.contains("killed")) {
+            begin();
+            World.Process victim = world.processes.get(size / 2);
+            victim.kill();
+            end("killed", settle());
+            begin();
+            victim.start();
+            end("restarted", settle());
+        }
+        if (plays.contains("tenth")) {
+            begin();
+            List<World.Process> tenth = IntStream.range(0, size / 10)
+                .mapToObj(i -> world.processes.get(3 + i * (size - 3) / (size / 10))).toList();
+            tenth.forEach(World.Process::kill);
+            tenth.forEach(World.Process::start);
+            end("tenth_restarted", settle());
+        }
+        if (plays.contains("zone")) {
+            begin();
+            zone(4).forEach(World.Process::kill);
+            end("zone_lost", settle());
+            begin();
+            zone(4).forEach(World.Process::start);
+            end("zone_back", settle());
+        }
+        if (plays.contains("cut")) {
+            cut("cut", "healed", this::first);
+        }
+        if (plays.contains("mixed")) {
+            cut("cut_across", "healed_across", process -> size(process) % 2 == 0);
+        }
+        loss(plays, 0.05, "loss5");
+        loss(plays, 0.2, "loss20");
+    }
+
+    private void cut(String name, String healing, java.util.function.Predicate<World.Process> side) {
+        begin();
+        for (World.Process a : world.processes) {
+            for (World.Process b : world.processes) {
+                if (side.test(a) != side.test(b)) {
+                    world.cut(a, b);
+                }
+            }
+        }
+        double took = settle();
+        if (took < 20) {
+            steps(20 - took);
+        }
+        end(name, took);
+        begin();
+        world.heal();
+        end(healing, settle());
+    }
+
+    private void loss(Set<String> plays, double share, String name) {
+        if (plays.contains(name)) {
+            world.run(5);
+            begin();
+            world.loss = share;
+            steps(15);
+            world.loss = 0;
+            end(name, 0);
+            settle();
+        }
+    }
+
+    private void begin() {
+        from = world.now;
+        falseVerdicts = 0;
+        world.processes.forEach(process -> {
+            process.sent.restart();
+            process.read.restart();
+        });
+    }
+
+    private void steps(double seconds) {
+        for (double until = world.now + seconds; world.now < until;) {
+            world.run(Math.min(STEP_S, until - world.now));
+            verdicts();
+        }
+    }
+
+    private double settle() {
+        double begun = world.now;
+        while (world.now - begun < MOST_S) {
+            world.run(STEP_S);
+            verdicts();
+            if (agreed()) {
+                return world.now - begun;
+            }
+        }
+        return Double.NaN;
+    }
+
+    /** Verdicts that stand on members who run and could be heard, counted at each step. */
+    private void verdicts() {
+        long now = 0;
+        for (World.Process by : world.processes) {
+            if (by.runs() && by.seen != null) {
+                for (Snapshot.Seen seen : by.seen.members()) {
+                    Statement st = seen.statement();
+                    World.Process subject = byName.get(st.name());
+                    now += st.standing() == Standing.UNREACHABLE && subject.runs() && !apart(by, subject)
+                        && subject.seen != null && subject.seen.self().equals(st.member()) ? 1 : 0;
+                }
+            }
+        }
+        falseVerdicts = Math.max(falseVerdicts, now);
+    }
+
+    /** All that run and hear each other hold one digest, call themselves settled and know just those. */
+    private boolean agreed() {
+        Map<String, Long> digests = new HashMap<>();
+        Map<String, Long> present = new HashMap<>();
+        for (World.Process process : world.processes) {
+            if (!process.runs()) {
+                continue;
+            }
+            Snapshot seen = process.seen;
+            if (seen == null || !seen.settled()) {
+                return false;
+            }
+            String side = String.valueOf(world.cuts.getOrDefault(process.address, Set.of()).size()
+                + (world.cuts.isEmpty() ? "" : apart(process, world.processes.get(0)) ? "b" : "a"));
+            Long digest = digests.putIfAbsent(side, seen.digest());
+            if (digest != null && digest != seen.digest()) {
+                return false;
+            }
+            long heard = seen.members().stream().filter(each -> each.statement().present()).count();
+            present.putIfAbsent(side, heard);
+        }
+        long running = world.processes.stream().filter(World.Process::runs).count();
+        return present.values().stream().mapToLong(Long::longValue).sum() == running;
+    }
+
+    private void end(String play, double settled) {
+        double seconds = Math.max(STEP_S, world.now - from);
+        List<World.Process> running = world.processes.stream().filter(World.Process::runs).toList();
+        add(play, "bytes_out", "B/s", running, p -> p.sent.bytes / seconds);
+        add(play, "bytes_out_worst_second", "B", running, p -> p.sent.worst());
+        add(play, "bytes_in", "B/s", running, p -> p.read.bytes / seconds);
+        add(play, "datagrams_out", "1/s", running, p -> p.sent.datagrams / seconds);
+        sink.add(play, size, "false_unreachable", "verdicts", falseVerdicts, falseVerdicts, 1);
+        if (settled != 0) {
+            sink.add(play, size, "settled", "s", Double.isNaN(settled) ? MOST_S : settled,
+                Double.isNaN(settled) ? Double.POSITIVE_INFINITY : settled, 1);
+        }
+    }
+
+    private void add(String play, String figure, String unit, List<World.Process> all,
+            ToDoubleFunction<World.Process> value) {
+        double[] values = all.stream().mapToDouble(value).sorted().toArray();
+        double most = values[values.length - 1];
+        sink.add(play, size, figure, unit, values[values.length / 2], most, values.length);
+    }
+
+    /** {@code SIZES PLAYS SEED}, such as {@code 45,90 calm,cut 1}; prints the figures. */
+    public static void main(String[] args) {
+        List<String> rows = new ArrayList<>();
+        for (String size : args[0].split(",")) {
+            long begun = System.nanoTime();
+            Settings settings = new Bounds().fleetName("hobart".length()).settings();
+            new VirtualScale(settings, Integer.parseInt(size), Long.parseLong(args[2]),
+                (play, count, figure, unit, median, worst, of) -> {
+                    if (!figure.equals("datagrams_out") && !figure.equals("bytes_in")) {
+                        System.out.printf(Locale.ROOT, "%5d %-16s %-24s %10.1f %10.1f %s%n", count, play,
+                            figure, median, worst, unit);
+                    }
+                }).play(Set.copyOf(Arrays.asList(args[1].split(","))));
+            rows.add(size + ": " + (System.nanoTime() - begun) / 1_000_000_000 + " s");
+        }
+        System.out.println(rows);
+    }
+}
--- a/src/test/java/junipercourse/fleet/view/World.java
+++ b/src/test/java/junipercourse/fleet/view/World.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -20,7 +22,10 @@
     final SplittableRandom random;
     final Judge judge = new Judge(this);
     final List<Process> processes = new ArrayList<>();
-    final Set<String> cuts = new HashSet<>();
+    /** For each address those that its words do not reach; none without any. */
+    final Map<String, Set<String>> cuts = new HashMap<>();
+    /** False in worlds too large for the judge to hold each snapshot against the truth. */
+    boolean judged = true;
     Settings settings = Settings.defaults();
     View.Faults faults = View.Faults.NONE;
     double loss;
@@ -32,6 +37,7 @@
     long words;
     long bytes;
     int largest;
+    private final Map<String, List<Process>> places = new HashMap<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private long sequence;
 
@@ -59,6 +65,10 @@
         private int starts;
         View view;
         Snapshot seen;
+        /** What it has sent, as the wire counts it. */
+        final Traffic sent = new Traffic();
+        /** What has reached it. */
+        final Traffic read = new Traffic();
         double pausedAt = Double.NaN;
         double lastPause = Double.NEGATIVE_INFINITY;
         double lastResume = Double.NEGATIVE_INFINITY;
@@ -163,13 +173,16 @@
         public void send(String to, Word word) {
             words++;
             bytes += word.bytes();
+            sent.add(now, DatagramSize.of(word));
             largest = Math.max(largest, word.bytes());
             deliver(address, to, word);
         }
 
         @Override
         public void changed(Snapshot snapshot) {
-            judge.saw(this, snapshot);
+            if (judged) {
+                judge.saw(this, snapshot);
+            }
             seen = snapshot;
         }
 
@@ -182,6 +195,7 @@
     Process add(String name, String address, String zone, List<String> seeds) {
         Process process = new Process(name, address, zone, seeds);
         processes.add(process);
+        places.computeIfAbsent(address, a -> new ArrayList<>()).add(process);
         return process;
     }
 
@@ -220,7 +234,7 @@
     }
 
     private void deliver(String from, String to, Word word) {
-        if (cuts.contains(from + ">" + to)) {
+        if (!cuts.isEmpty() && cuts.getOrDefault(from, Set.of()).contains(to)) {
             return;
         }
         for (int copies = random.nextDouble() < doubled ? 2 : 1; copies > 0; copies--) {
@@ -232,8 +246,9 @@
     }
 
     private void arrive(String from, String to, Word word) {
-        for (Process process : processes) {
-            if (process.address.equals(to) && process.runs()) {
+        for (Process process : places.getOrDefault(to, List.of())) {
+            if (process.runs()) {
+                process.read.add(now, DatagramSize.of(word));
                 process.hear(from, word);
             }
         }
@@ -241,7 +256,7 @@
 
     /** Words from one side no longer reach the other; one way only. */
     void cut(Process from, Process to) {
-        cuts.add(from.address + ">" + to.address);
+        cuts.computeIfAbsent(from.address, a -> new HashSet<>()).add(to.address);
         cutAt = now;
     }
 
--- a/src/test/java/junipercourse/product/ProductReaderTest.java
+++ b/src/test/java/junipercourse/product/ProductReaderTest.java
@@ -17,7 +17,7 @@
             <product>
               <fleet name="f" listen="127.0.0.1:7101" zone="east">
                 <seed address="127.0.0.2:7101"/>
-                <bounds peer-rate="1KB/s" ring="64"/>
+                <bounds peer-rate="1KB/s" ring="64" budget="8KB/s"/>
                 <times probe-interval="250ms" forget-left="1.5min"/>
               </fleet>
             </product>
@@ -38,6 +38,7 @@
         assertEquals(List.of("127.0.0.2:7101"), fleet.seeds());
         assertEquals(1024, fleet.bounds().peerBytes());
         assertEquals(64, fleet.bounds().ring());
+        assertEquals(8192, fleet.view().bytesASecond());
         assertEquals(0.25, fleet.view().probeInterval());
         assertEquals(90, fleet.view().forgetLeft());
         assertEquals(null, read("<product/>").fleet());
@@ -48,7 +49,8 @@
         "250ms | 250 | 5:55: times: probe-interval: '250' cannot be used; right would be a time with",
         "zone= | zoned= | 2:56: fleet: Attribute 'zoned' is not allowed to appear in element 'fleet'.",
         "name=\"f\" | name=\"\" | 2:54: fleet: name: '' cannot be used; right would be 1 to 40 visible",
-        "ring=\"64\" | ring=\"4\" | 4:41: bounds: ring: '4' cannot be used; right would be a whole number",
+        "budget=\"8KB/s\" | budget=\"2KB/s\" | 6:11: fleet: bytesASecond: 2048 is not within 3000",
+        "ring=\"64\" | ring=\"4\" | 4:56: bounds: ring: '4' cannot be used; right would be a whole number",
         "127.0.0.2:7101 | 127.0.0.2:71011 | 3:38: seed: address: 127.0.0.2:71011: not a numeric address",
         "127.0.0.1:7101 | 0.0.0.0:7101 | 6:11: fleet: advertise: missing; others cannot send to 0.0.0.0:7101",
         "250ms | 0ms | 6:11: fleet: times: probe-interval: '0ms' is not above 0",
