Play the fleet at scale: hollow members on real sockets beside real dispatchers

Change: junipercourse.scale and fleet.link.HollowLink, test and tool code alone; rig.Look is public for it. ScaleRun is the long run, ScaleRunTest the small one in verify.

--- /dev/null
+++ b/src/test/java/junipercourse/fleet/link/HollowLink.java
@@ -0,0 +1,146 @@
+package junipercourse.fleet.link;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.util.function.BiConsumer;
+import junipercourse.config.Config;
+import junipercourse.config.ConfigException;
+import junipercourse.fleet.view.Word;
+
+/**
+ * {@link FleetLink} without threads and rings of its own, for many members on one thread: the same socket,
+ * codec, rates, refusals and counts. What it leaves out are the two rings, so that {@code IN_RING_FULL} and
+ * {@code OUT_RING_FULL} never come: what waits, waits in the socket's buffer. Between the sender and the
+ * network lies a {@link Path}, which may lose a datagram or hold it back.
+ */
+public final class HollowLink implements Closeable {
+    private static final int MOST_AT_ONCE = 256;
+
+    private final Codec codec;
+    private final Rate rateIn;
+    private final Rate rateOut;
+    private final Tally tally;
+    private final Path path;
+    private final ByteBuffer received = ByteBuffer.allocate(Codec.MOST_BYTES + 1); // one more tells too long
+    private final ByteBuffer sent = ByteBuffer.allocate(Codec.MOST_BYTES);
+    private final DatagramChannel channel;
+
+    /** The faults between members. */
+    public interface Path {
+        /** Seconds that a datagram to this address is held back; below 0 if it is lost. */
+        double out(String to);
+
+        /** The same for one that came, of a sender that has no path of its own. */
+        double in(String from);
+
+        /** Has something done after so many seconds, on the link's thread. */
+        void later(double seconds, Runnable task);
+    }
+
+    /**
+     * Opens and binds the socket.
+     *
+     * @param tally goes on from life to life of a member
+     */
+    public HollowLink(String fleet, InetSocketAddress listen, Bounds bounds, Tally tally, Path path)
+            throws IOException {
+        this.tally = tally;
+        this.path = path;
+        codec = new Codec(fleet);
+        rateIn = new Rate(bounds.sourceDatagrams(), bounds.allDatagrams());
+        rateOut = new Rate(bounds.peerBytes(), bounds.allBytes());
+        channel = DatagramChannel.open();
+        try {
+            channel.configureBlocking(false);
+            channel.bind(listen);
+        } catch (IOException e) {
+            channel.close();
+            throw new IOException("cannot have fleet address " + listen + ": " + e.getMessage(), e);
+        }
+    }
+
+    /** To be registered for reading. */
+    public DatagramChannel channel() {
+        return channel;
+    }
+
+    /** Reads what lies at the socket, up to a bound; true if there may be more. */
+    public boolean receive(BiConsumer<String, Word> heard) throws IOException {
+        for (int i = 0; i < MOST_AT_ONCE; i++) {
+            received.clear();
+            SocketAddress from = channel.receive(received);
+            if (from == null) {
+                return false;
+            }
+            received.flip();
+            take((InetSocketAddress) from, heard);
+        }
+        return true;
+    }
+
+    private void take(InetSocketAddress from, BiConsumer<String, Word> heard) {
+        String address = from.getAddress().getHostAddress() + ":" + from.getPort();
+        double delay = path.in(address);
+        if (delay < 0) {
+            return; // was lost on the way here
+        }
+        tally.in(received.limit());
+        if (!rateIn.take(from.getAddress(), 1, System.nanoTime() / 1e9)) {
+            tally.refuse(Refusal.TOO_MANY);
+            return;
+        }
+        Codec.Read read = codec.read(received);
+        if (read.refusal() != null) {
+            tally.refuse(read.refusal());
+        } else if (delay > 0) {
+            path.later(delay, () -> heard.accept(address, read.word()));
+        } else {
+            heard.accept(address, read.word());
+        }
+    }
+
+    /** Sends a word at once, or drops and counts it. */
+    public void send(String address, Word word) {
+        if (!codec.write(word, sent)) {
+            tally.refuse(Refusal.OVERSIZE);
+            return;
+        }
+        int size = sent.limit();
+        if (!rateOut.take(address, size, System.nanoTime() / 1e9)) {
+            tally.refuse(Refusal.OVER_RATE);
+            return;
+        }
+        double delay = path.out(address);
+        if (delay < 0) {
+            tally.out(size); // the system took it, the network lost it
+        } else if (delay > 0) {
+            ByteBuffer copy = ByteBuffer.allocate(size).put(sent).flip();
+            path.later(delay, () -> transmit(address, copy));
+        } else {
+            transmit(address, sent);
+        }
+    }
+
+    private void transmit(String address, ByteBuffer bytes) {
+        int size = bytes.limit();
+        try {
+            if (channel.isOpen() && channel.send(bytes, Config.address("fleet address", address)) == size) {
+                tally.out(size);
+                return;
+            }
+        } catch (IOException | ConfigException e) {
+            tally.refuse(Refusal.NOT_SENT); // no way there just now, or no address at all
+            return;
+        }
+        tally.refuse(Refusal.NOT_SENT);
+    }
+
+    @Override
+    public void close() throws IOException {
+        channel.close();
+    }
+}
--- a/src/test/java/junipercourse/rig/Look.java
+++ b/src/test/java/junipercourse/rig/Look.java
@@ -15,16 +15,16 @@
  * @param members all that it knows of, by name
  * @param figures all other rows, such as {@code view.settled}
  */
-record Look(double at, int observer, int process, long self, Map<String, Seen> members,
+public record Look(double at, int observer, int process, long self, Map<String, Seen> members,
         Map<String, String> figures) {
     private static final Pattern ROW = Pattern.compile("D\\(([^)]*)\\)");
     private static final int COLUMNS = 7;
 
     /** A member as shown. */
-    record Seen(String standing, long incarnation) { }
+    public record Seen(String standing, long incarnation) { }
 
     /** Reads what {@code TestBench.Client} made of the answer. */
-    static Look parse(double at, int observer, int process, String answer) {
+    public static Look parse(double at, int observer, int process, String answer) {
         Map<String, Seen> members = new HashMap<>();
         Map<String, String> figures = new HashMap<>();
         long self = 0;
@@ -48,16 +48,16 @@
     }
 
     /** A count of the link, such as {@code link.in}. */
-    long count(String figure) {
+    public long count(String figure) {
         return Long.parseLong(figures.getOrDefault(figure, "0"));
     }
 
-    boolean settled() {
+    public boolean settled() {
         return "true".equals(figures.get("view.settled"));
     }
 
     /** Whether it sees that member so. */
-    boolean sees(String member, String standing) {
+    public boolean sees(String member, String standing) {
         return members.containsKey(member) && members.get(member).standing().equals(standing);
     }
 }
--- /dev/null
+++ b/src/test/java/junipercourse/scale/EventBus.java
@@ -0,0 +1,168 @@
+package junipercourse.scale;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.IntConsumer;
+import junipercourse.ScriptedBus;
+
+/**
+ * A stand-in for the event bus that serves many at once on one thread: each is told the events after the one
+ * that it asks from, then each new one, and an empty frame a second. One that does not take what it is told
+ * is left, and comes again.
+ */
+final class EventBus implements Closeable {
+    private static final int BACKLOG = 4096;
+    private static final double BEAT_S = 1;
+
+    private final Selector selector = Selector.open();
+    private final ServerSocketChannel server = ServerSocketChannel.open();
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final List<byte[]> events = new ArrayList<>();
+    private final Thread thread = new Thread(this::run, "event-bus");
+    private volatile boolean closed;
+    private volatile int listeners;
+    private double nextBeat;
+
+    /** What is known of one connection: the bytes of its question, and whether it was heard whole. */
+    private static final class Listener {
+        private final ByteBuffer question = ByteBuffer.allocate(Long.BYTES);
+        private boolean asked;
+    }
+
+    EventBus() throws IOException {
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
+        server.configureBlocking(false);
+        server.register(selector, SelectionKey.OP_ACCEPT);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) server.getLocalAddress();
+    }
+
+    /** Those that have asked and are told now. */
+    int listeners() {
+        return listeners;
+    }
+
+    /** Tells of one engine, whose id is the event's number; {@code told} is given that as it is written. */
+    void post(IntConsumer told) {
+        tasks.add(() -> {
+            int number = events.size() + 1;
+            events.add(HexFormat.of().parseHex(ScriptedBus.frame(false, number, number,
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), false)));
+            told.accept(number);
+            tellAll(events.get(number - 1));
+        });
+        selector.wakeup();
+    }
+
+    private void run() {
+        try {
+            while (!closed) {
+                selector.select((long) (BEAT_S * 1e3));
+                for (SelectionKey key : selector.selectedKeys()) {
+                    if (key.isValid() && key.isAcceptable()) {
+                        accept();
+                    } else if (key.isValid()) {
+                        read(key);
+                    }
+                }
+                selector.selectedKeys().clear();
+                for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+                    task.run();
+                }
+                if (Network.now() >= nextBeat) {
+                    nextBeat = Network.now() + BEAT_S;
+                    tellAll(HexFormat.of().parseHex(ScriptedBus.NOTHING.formatted(events.size())));
+                }
+                listeners = (int) selector.keys().stream().filter(EventBus::asked).count();
+            }
+        } catch (IOException | ClosedSelectorException e) {
+            if (!closed) {
+                e.printStackTrace();
+            }
+        }
+    }
+
+    private static boolean asked(SelectionKey key) {
+        return key.isValid() && key.attachment() instanceof Listener listener && listener.asked;
+    }
+
+    private void accept() throws IOException {
+        for (SocketChannel c = server.accept(); c != null; c = server.accept()) {
+            c.configureBlocking(false);
+            c.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            c.register(selector, SelectionKey.OP_READ, new Listener());
+        }
+    }
+
+    private void read(SelectionKey key) throws IOException {
+        Listener listener = (Listener) key.attachment();
+        SocketChannel channel = (SocketChannel) key.channel();
+        try {
+            if (channel.read(listener.question) <= 0) {
+                channel.close(); // has left, or says more than it may
+            } else if (!listener.question.hasRemaining()) {
+                listener.asked = true;
+                for (int i = (int) listener.question.getLong(0); i < events.size(); i++) {
+                    tell(key, events.get(i));
+                }
+            }
+        } catch (IOException e) {
+            channel.close();
+        }
+    }
+
+    private void tellAll(byte[] frame) {
+        for (SelectionKey key : selector.keys()) {
+            if (asked(key)) {
+                tell(key, frame);
+            }
+        }
+    }
+
+    private static void tell(SelectionKey key, byte[] frame) {
+        try {
+            SocketChannel channel = (SocketChannel) key.channel();
+            if (!channel.isOpen()) {
+                return;
+            }
+            if (channel.write(ByteBuffer.wrap(frame)) < frame.length) {
+                channel.close();
+            }
+        } catch (IOException e) {
+            key.cancel();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        selector.wakeup();
+        try {
+            thread.join(1000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        for (SelectionKey key : selector.keys()) {
+            key.channel().close();
+        }
+        selector.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/junipercourse/scale/Machine.java
@@ -0,0 +1,52 @@
+package junipercourse.scale;
+
+import com.sun.management.OperatingSystemMXBean;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** What the system tells of this machine. */
+final class Machine {
+    private static final double PAGES_MB = 256;
+    private static final int IDLE = 4; // fields of the line of all processors
+    private static final int WAITING = 5;
+
+    private Machine() { }
+
+    /** Processor time of the whole machine so far, in ticks. */
+    record Processors(long busy, long all) {
+        /** The share that was busy since then. */
+        double busySince(Processors then) {
+            return all == then.all ? 0 : (busy - then.busy) / (double) (all - then.all);
+        }
+    }
+
+    static String told() {
+        OperatingSystemMXBean os = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+        return os.getAvailableProcessors() + " cores, " + (os.getTotalMemorySize() >> 30) + " GiB";
+    }
+
+    static Processors processors() throws IOException {
+        String[] fields = Files.readAllLines(Path.of("/proc/stat")).get(0).trim().split(" +");
+        long all = 0;
+        for (int i = 1; i <= 8; i++) {
+            all += Long.parseLong(fields[i]);
+        }
+        return new Processors(all - Long.parseLong(fields[IDLE]) - Long.parseLong(fields[WAITING]), all);
+    }
+
+    /** Datagrams that the system dropped so far since a socket's buffer was full. */
+    static long receiveBufferErrors() throws IOException {
+        List<String> lines = Files.readAllLines(Path.of("/proc/net/snmp")).stream()
+                .filter(line -> line.startsWith("Udp:")).toList();
+        List<String> names = List.of(lines.get(0).split(" "));
+        return Long.parseLong(lines.get(1).split(" ")[names.indexOf("RcvbufErrors")]);
+    }
+
+    /** Resident memory of this process. */
+    static double residentMb() throws IOException {
+        return Long.parseLong(Files.readString(Path.of("/proc/self/statm")).split(" ")[1]) / PAGES_MB;
+    }
+}
--- /dev/null
+++ b/src/test/java/junipercourse/scale/RealMember.java
@@ -0,0 +1,64 @@
+package junipercourse.scale;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
+import junipercourse.DispatcherProcess;
+import junipercourse.TestBench;
+import junipercourse.rig.Look;
+
+/** A whole dispatcher as a process, member of the same fleet; it is asked with {@code SHOW FLEET}. */
+final class RealMember implements Closeable {
+    private static final int DESCRIPTORS = 1024;
+    private static final double PAGES_MB = 256;
+    private static final double TICKS_S = 100; // in which the system counts processor time
+
+    final int number;
+    private final DispatcherProcess process;
+    private TestBench.Client client;
+
+    /** Starts it; {@code packaged} takes the deploy file's command line, else the class path is run. */
+    RealMember(int number, Path folder, String product, boolean packaged) throws IOException {
+        this.number = number;
+        Path own = Files.createDirectories(folder.resolve(HollowMember.name(number)));
+        Path config = Files.writeString(own.resolve("config.json"), TestBench.CONFIG);
+        Path file = Files.writeString(own.resolve("product.xml"), product);
+        String first = "export RELAY_NAME=" + HollowMember.name(number) + " JUNIPER_PRODUCT='" + file + "'; ";
+        process = packaged ? DispatcherProcess.deployed(own.resolve("log"), config, first)
+                : new DispatcherProcess(own, DESCRIPTORS, config, first);
+    }
+
+    /** A product file with the fleet alone and its defaults. */
+    static String product(int number, String zone, List<String> seeds) {
+        return "<product><fleet name='scale' listen='" + Network.address(number) + "' zone='" + zone + "'>"
+                + seeds.stream().map(seed -> "<seed address='" + seed + "'/>").collect(Collectors.joining())
+                + "</fleet></product>";
+    }
+
+    /** What it tells of its fleet now. */
+    Look look() throws IOException {
+        if (client == null) {
+            client = new TestBench.Client(process.address());
+            client.start();
+        }
+        return Look.parse(Network.now(), number, 1, client.ask("SHOW FLEET"));
+    }
+
+    /** Processor seconds so far. */
+    double processorS() throws IOException {
+        String[] stat = process.told("stat").split("\\) ")[1].split(" "); // the third field and on
+        return (Long.parseLong(stat[11]) + Long.parseLong(stat[12])) / TICKS_S;
+    }
+
+    double residentMb() throws IOException {
+        return Long.parseLong(process.told("statm").split(" ")[1]) / PAGES_MB;
+    }
+
+    @Override
+    public void close() {
+        process.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/junipercourse/scale/ScaleMain.java
@@ -0,0 +1,112 @@
+package junipercourse.scale;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** The scale run of the fleet, for each size in turn; {@link ScaleRun} tells of its properties. */
+public final class ScaleMain {
+    private final List<Integer> sizes = list("scale.sizes", "45,90").stream().map(Integer::valueOf).toList();
+    private final List<String> plays = list("scale.plays", String.join(",", Plays.ALL));
+    private final int realCount = Integer.getInteger("scale.real", 6);
+    private final int threads = Integer.getInteger("scale.threads",
+            Math.max(1, Math.min(4, Runtime.getRuntime().availableProcessors() / 2)));
+    private final long seed = Long.getLong("scale.seed", 34);
+    private final boolean packaged = !"false".equals(System.getProperty("scale.packaged"));
+    private final double delay = number("scale.delay", 0);
+    private final double leastS = number("scale.least", 5);
+    private final double calmS = number("scale.calm", 10);
+    private final double apartS = number("scale.apart", 20);
+    private final double memoryMb = number("scale.memory", 11) * 1024;
+    private final double wallS = number("scale.wall", 1800);
+    private final Results results = new Results(
+            Path.of(System.getProperty("scale.out", "target/scale.jsonl")), "fleet", Machine.told(),
+            System.getProperty("scale.variant", "landed"), seed);
+
+    /** Runs all; the exit code tells whether all plays were run. */
+    public static void main(String[] arguments) throws IOException {
+        Thread parent = new Thread(() -> {
+            try {
+                while (System.in.read() >= 0) {
+                    // nothing is said here; its end is the end of who started this
+                }
+            } catch (IOException e) {
+                System.out.println("the starter's pipe broke: " + e);
+            }
+            System.exit(2);
+        }, "parent");
+        parent.setDaemon(true);
+        parent.start();
+        System.exit(new ScaleMain().run() ? 0 : 1);
+    }
+
+    private static List<String> list(String key, String fallback) {
+        return Arrays.asList(System.getProperty(key, fallback).split(","));
+    }
+
+    private static double number(String key, double fallback) {
+        return Double.parseDouble(System.getProperty(key, Double.toString(fallback)));
+    }
+
+    /** True if all plays were run. */
+    boolean run() throws IOException {
+        System.out.printf("scale run: sizes %s, plays %s, %d real, %d hollow threads, seed %d; at most"
+                + " %.0f MB and %.0f s, about %d s in all; %d processes%n", sizes, plays, realCount, threads,
+                seed, memoryMb, wallS, (int) (sizes.size() * (70 + calmS * 3 + apartS)), realCount + 1);
+        if (!Plays.ALL.containsAll(plays)) {
+            throw new IllegalArgumentException("plays are " + Plays.ALL + ", got " + plays);
+        }
+        Guard guard = new Guard(memoryMb, wallS);
+        boolean all = true;
+        for (int size : sizes) {
+            all &= run(size, guard);
+        }
+        return all;
+    }
+
+    private boolean run(int size, Guard guard) throws IOException {
+        List<String> left = new ArrayList<>(plays);
+        left.remove("start");
+        left.add(0, "start"); // nothing is without it
+        Path folder = Files.createTempDirectory("scale");
+        try (ScaleFleet fleet = new ScaleFleet(folder, size, realCount, threads, packaged, delay, seed);
+                Meter meter = new Meter(fleet, results, guard)) {
+            Thread hook = new Thread(() -> fleet.real.forEach(RealMember::close), "end-real");
+            Runtime.getRuntime().addShutdownHook(hook);
+            Plays all = new Plays(fleet, meter, guard, seed, leastS, calmS, apartS);
+            try {
+                while (!left.isEmpty()) {
+                    all.play(left.get(0));
+                    left.remove(0);
+                }
+            } finally {
+                fleet.real.forEach(RealMember::close);
+                Runtime.getRuntime().removeShutdownHook(hook);
+            }
+        } catch (IOException | RuntimeException e) {
+            notRun(size, left, e);
+        } finally {
+            try (Stream<Path> files = Files.walk(folder)) {
+                for (Path each : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(each);
+                }
+            }
+        }
+        return left.isEmpty();
+    }
+
+    private void notRun(int size, List<String> left, Exception why) {
+        System.out.println("cut short at " + size + " members: " + why);
+        if (!(why instanceof Guard.CutShortException)) {
+            why.printStackTrace(System.out);
+        }
+        for (String play : left) {
+            results.invalid(play, size, "not_run", "plays", 1, 1, 1, "cut short: " + why.getMessage());
+        }
+    }
+}
