Scale run: warm up, count lives before agreement, hold the ring's part in the buffer

Need: a first check after a restart could take the old lives' agreement for the new; a maximum over noughts was no number; a cold JVM was charged to the first size. Change: each restart raises the lives that must have begun; medians from the histogram, greatest exact; an unmeasured fleet first; a hollow socket's buffer has room for what FleetLink's ring holds.

--- a/src/test/java/junipercourse/fleet/link/HollowLink.java
+++ b/src/test/java/junipercourse/fleet/link/HollowLink.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
 import java.util.function.BiConsumer;
@@ -14,11 +15,15 @@
 /**
  * {@link FleetLink} without threads and rings of its own, for many members on one thread: the same socket,
  * codec, rates, refusals and counts. What it leaves out are the two rings, so that {@code IN_RING_FULL} and
- * {@code OUT_RING_FULL} never come: what waits, waits in the socket's buffer. Between the sender and the
+ * {@code OUT_RING_FULL} never come: what waits, waits in the socket's buffer,
+ * which is longer by what the ring would hold. Between the sender and the
  * network lies a {@link Path}, which may lose a datagram or hold it back.
  */
 public final class HollowLink implements Closeable {
     private static final int MOST_AT_ONCE = 256;
+    /** What a socket has by itself on Linux and what the longest word takes there, which it counts double. */
+    private static final int OWN_BUFFER = 106_496;
+    private static final int WORD_BUFFER = 1152;
 
     private final Codec codec;
     private final Rate rateIn;
@@ -56,6 +61,7 @@
         channel = DatagramChannel.open();
         try {
             channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.SO_RCVBUF, OWN_BUFFER + bounds.ring() * WORD_BUFFER);
             channel.bind(listen);
         } catch (IOException e) {
             channel.close();
--- a/src/test/java/junipercourse/scale/HollowMember.java
+++ b/src/test/java/junipercourse/scale/HollowMember.java
@@ -34,6 +34,7 @@
     private View view;
     private HollowLink link;
     private volatile Snapshot snapshot;
+    private volatile int lives;
     private volatile double startedAt = Double.POSITIVE_INFINITY;
 
     HollowMember(int number, FleetPart part, HollowThread home, Network network, Verdicts verdicts) {
@@ -53,6 +54,11 @@
         return snapshot;
     }
 
+    /** How many lives have begun. */
+    int lives() {
+        return lives;
+    }
+
     /** When the life began that runs; infinity if none does. */
     double startedAt() {
         return startedAt;
@@ -69,6 +75,8 @@
         view = new View(part.view(), name(number), part.advertise(), part.zone(), part.seeds(),
                 home.random.nextLong(), this);
         startedAt = Network.now();
+        snapshot = null;
+        lives++; // on this thread alone
         home.add(this);
         view.start(Network.now());
     }
--- a/src/test/java/junipercourse/scale/Meter.java
+++ b/src/test/java/junipercourse/scale/Meter.java
@@ -11,14 +11,12 @@
 import java.util.stream.IntStream;
 import junipercourse.fleet.link.Refusal;
 import junipercourse.fleet.link.Tally;
-import org.HdrHistogram.DoubleHistogram;
 
 /**
  * Measures one play after the other: counts of all hollow members at its begin, each second and at its end.
  * A play during which the machine was the bound is written as one that does not count.
  */
 final class Meter implements Closeable {
-    private static final int DIGITS = 3;
     /** Above this a thread or the machine is taken for full. */
     private static final double FULL = 0.85;
     private static final double MB = 1 << 20;
@@ -218,12 +216,9 @@
         }
 
         void spread(String figure, String unit, double[] values) {
-            DoubleHistogram all = new DoubleHistogram(DIGITS);
-            for (double value : values) {
-                all.recordValue(value);
-            }
             if (values.length > 0) {
-                write(figure, unit, all.getValueAtPercentile(50), all.getMaxValue(), values.length, why);
+                double[] both = Results.medianAndWorst(values);
+                write(figure, unit, both[0], both[1], values.length, why);
             }
         }
 
--- a/src/test/java/junipercourse/scale/Plays.java
+++ b/src/test/java/junipercourse/scale/Plays.java
@@ -24,6 +24,9 @@
             "loss5", "loss20", "events");
     /** What does not settle in this time is written as such, and the run goes on. */
     private static final double SETTLE_MOST_S = 30;
+    private static final int POLL_MS = 20;
+    /** A whole table costs a real one some processor time, which is measured too. */
+    private static final int REAL_POLL_MS = 100;
     private static final int EVENTS = 50;
     private static final double RESTARTED_APART = 0.04;
 
@@ -93,8 +96,8 @@
 
     /** Waits for agreement, rounds the time up and writes all figures. */
     private void finish(String name, double from) throws IOException {
-        Wait all = until(from, fleet::disagreement);
-        Wait real = until(from, fleet::realDisagreement);
+        Wait all = until(from, POLL_MS, fleet::disagreement);
+        Wait real = until(from, REAL_POLL_MS, fleet::realDisagreement);
         hold(from + leastS - Network.now());
         Meter.Figures figures = meter.end(name);
         figures.one("unsettled", "plays", all.fault == null ? 0 : 1);
@@ -116,10 +119,10 @@
                 : ": not so: " + wait.fault);
     }
 
-    private Wait until(double from, Callable<String> fault) {
+    private Wait until(double from, int pollMs, Callable<String> fault) {
         String[] newest = {""};
         try {
-            await().pollDelay(Duration.ZERO).pollInterval(Duration.ofMillis(20))
+            await().pollDelay(Duration.ZERO).pollInterval(Duration.ofMillis(pollMs))
                     .atMost(Duration.ofMillis((long) (SETTLE_MOST_S * 1e3))).until(() -> {
                         guard.check();
                         newest[0] = fault.call();
@@ -142,13 +145,13 @@
     private void calm() throws IOException {
         meter.begin();
         hold(calmS);
+        Meter.Figures figures = meter.end("calm");
         String fault = fleet.disagreement();
         String realFault = fleet.realDisagreement();
-        Meter.Figures figures = meter.end("calm");
         figures.one("unsettled", "plays", fault == null ? 0 : 1);
         figures.one("real_unsettled", "plays", realFault == null ? 0 : 1);
         figures.one("heap", "MB", (Meter.heapMb() - heapBefore) / fleet.hollow.size());
-        until(Network.now(), fleet::disagreement); // the collection was a stall for all
+        until(Network.now(), POLL_MS, fleet::disagreement); // the collection was a stall for all
     }
 
     private void zone() throws IOException {
@@ -162,7 +165,7 @@
         meter.begin();
         double from = Network.now();
         fleet.network.cut(fleet.halves());
-        Wait apart = until(from, fleet::disagreement);
+        Wait apart = until(from, POLL_MS, fleet::disagreement);
         List<Integer> restarted = some(RESTARTED_APART);
         double pause = Math.max(0, from + apartS * 0.75 - Network.now()) / restarted.size();
         for (int member : restarted) {
@@ -170,7 +173,9 @@
             fleet.restart(member);
         }
         hold(from + apartS - Network.now());
-        settled(meter.end("regions_apart"), "settled", apart);
+        Meter.Figures figures = meter.end("regions_apart");
+        figures.one("unsettled", "plays", apart.fault == null ? 0 : 1);
+        settled(figures, "settled", apart);
         measured("regions_healed", fleet.network::heal);
     }
 
@@ -183,7 +188,7 @@
     }
 
     private void events() throws IOException {
-        Wait listening = until(Network.now(), () -> fleet.listeners.listening()
+        Wait listening = until(Network.now(), POLL_MS, () -> fleet.listeners.listening()
                 == fleet.runningHollow().count() ? null : fleet.listeners.listening() + " listen");
         long before = fleet.listeners.heardInAll();
         meter.begin();
@@ -192,7 +197,7 @@
             hold(from + i / (double) EVENTS - Network.now());
             fleet.listeners.post();
         }
-        Wait all = until(Network.now(), () -> fleet.listeners.haveAll(fleet.runningHollow()) ? null
+        Wait all = until(Network.now(), POLL_MS, () -> fleet.listeners.haveAll(fleet.runningHollow()) ? null
                 : "not all have all");
         hold(from + leastS - Network.now());
         Meter.Figures figures = meter.end("events");
--- a/src/test/java/junipercourse/scale/RealMember.java
+++ b/src/test/java/junipercourse/scale/RealMember.java
@@ -40,11 +40,19 @@
 
     /** What it tells of its fleet now. */
     Look look() throws IOException {
-        if (client == null) {
-            client = new TestBench.Client(process.address());
-            client.start();
+        if (!process.isAlive()) {
+            throw new IOException("has ended: " + process.log());
+        }
+        try {
+            if (client == null) {
+                client = new TestBench.Client(process.address());
+                client.start();
+            }
+            return Look.parse(Network.now(), number, 1, client.ask("SHOW FLEET"));
+        } catch (IOException e) {
+            client = null; // the next look connects anew
+            throw e;
         }
-        return Look.parse(Network.now(), number, 1, client.ask("SHOW FLEET"));
     }
 
     /** Processor seconds so far. */
--- a/src/test/java/junipercourse/scale/Results.java
+++ b/src/test/java/junipercourse/scale/Results.java
@@ -8,6 +8,8 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.time.LocalDate;
+import java.util.stream.DoubleStream;
+import org.HdrHistogram.DoubleHistogram;
 
 /**
  * Figures of a measuring tool, one JSON object a line, appended to a file as they come, so that what was
@@ -16,6 +18,8 @@
 public final class Results {
     private static final String COMMIT = System.getProperty("scale.commit", "unknown");
 
+    private static final int DIGITS = 3;
+
     private final Path file;
     private final String suite;
     private final String machine;
@@ -41,6 +45,16 @@
         write(play, size, figure, unit, median, worst, count, true, "");
     }
 
+    /** Median and greatest of some values, of which there is at least one. */
+    static double[] medianAndWorst(double... values) {
+        DoubleHistogram all = new DoubleHistogram(DIGITS);
+        for (double value : values) {
+            all.recordValue(value);
+        }
+        // the histogram's own maximum is no number where all values are 0
+        return new double[] {all.getValueAtPercentile(50), DoubleStream.of(values).max().orElseThrow()};
+    }
+
     /** A figure that is no measurement, since the machine was the bound or the run was cut short. */
     public void invalid(String play, int size, String figure, String unit, double median, double worst,
             int count, String why) {
--- a/src/test/java/junipercourse/scale/ResultsTest.java
+++ b/src/test/java/junipercourse/scale/ResultsTest.java
@@ -1,5 +1,6 @@
 package junipercourse.scale;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -38,6 +39,13 @@
         assertEquals("\"full\"", second.getString("why", ""));
     }
 
+    @Test
+    void medianAndWorstAreOfTheValuesAlsoWhereTheyAreNought() {
+        assertArrayEquals(new double[] {0, 0}, Results.medianAndWorst(0, 0, 0));
+        assertArrayEquals(new double[] {0, 9}, Results.medianAndWorst(9, 0, 0));
+        assertArrayEquals(new double[] {2700, 102_912}, Results.medianAndWorst(0.001, 2700, 102_912), 3);
+    }
+
     /** What is no number is not written as if it were one. */
     @Test
     void aFigureThatIsNoneIsRefused() {
--- a/src/test/java/junipercourse/scale/ScaleFleet.java
+++ b/src/test/java/junipercourse/scale/ScaleFleet.java
@@ -42,6 +42,8 @@
     private final Path folder;
     private final boolean packaged;
     private final BitSet running = new BitSet();
+    /** How many lives of each must have begun: nobody agrees before all that was asked for is so. */
+    private final int[] lives;
 
     ScaleFleet(Path folder, int size, int realCount, int threadCount, boolean packaged, double delay,
             long seed) throws IOException {
@@ -49,6 +51,7 @@
         this.size = size;
         this.realCount = realCount;
         this.packaged = packaged;
+        lives = new int[size];
         network = new Network(size, realCount, delay);
         listeners = new Listeners(size);
         Path file = Files.writeString(folder.resolve("product.xml"),
@@ -108,6 +111,7 @@
     }
 
     void start(int member) {
+        lives[member]++;
         running.set(member);
         hollow(member).home.execute(hollow(member)::start);
         listeners.start(member);
@@ -121,6 +125,7 @@
 
     /** It leaves and is there again half a second later. */
     void restart(int member) {
+        lives[member]++;
         hollow(member).home.execute(hollow(member)::restart);
         listeners.stop(member);
         listeners.start(member);
@@ -160,8 +165,8 @@
         Snapshot[] firsts = new Snapshot[2];
         for (int i : runningHollow().toArray()) {
             Snapshot s = hollow(i).snapshot();
-            if (s == null || !s.settled()) {
-                return "n" + i + (s == null ? " has no view" : " is not settled");
+            if (s == null || !s.settled() || hollow(i).lives() != lives[i]) {
+                return "n" + i + (s == null || s.settled() ? " has no view" : " is not settled");
             }
             newest[i] = s;
             if (firsts[sides[i]] == null) {
@@ -186,9 +191,14 @@
     }
 
     /** Null if the real ones agree with the hollow ones and are seen by them as the lives that they are. */
-    String realDisagreement() throws IOException {
+    String realDisagreement() {
         for (RealMember each : real) {
-            Look look = each.look();
+            Look look;
+            try {
+                look = each.look();
+            } catch (IOException e) {
+                return "n" + each.number + " does not answer: " + e;
+            }
             Snapshot ours = hollow(realCount).snapshot(); // of the first half, as all real ones
             if (ours == null) {
                 return "n" + realCount + " has no view";
--- a/src/test/java/junipercourse/scale/ScaleMain.java
+++ b/src/test/java/junipercourse/scale/ScaleMain.java
@@ -1,6 +1,7 @@
 package junipercourse.scale;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -8,9 +9,12 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
+import junipercourse.TestBench;
 
 /** The scale run of the fleet, for each size in turn; {@link ScaleRun} tells of its properties. */
 public final class ScaleMain {
+    private static final int WARM_SIZE = 90;
+
     private final List<Integer> sizes = list("scale.sizes", "45,90").stream().map(Integer::valueOf).toList();
     private final List<String> plays = list("scale.plays", String.join(",", Plays.ALL));
     private final int realCount = Integer.getInteger("scale.real", 6);
@@ -32,9 +36,7 @@
     public static void main(String[] arguments) throws IOException {
         Thread parent = new Thread(() -> {
             try {
-                while (System.in.read() >= 0) {
-                    // nothing is said here; its end is the end of who started this
-                }
+                System.in.transferTo(OutputStream.nullOutputStream()); // its end is that of who started this
             } catch (IOException e) {
                 System.out.println("the starter's pipe broke: " + e);
             }
@@ -63,12 +65,32 @@
         }
         Guard guard = new Guard(memoryMb, wallS);
         boolean all = true;
+        warmUp();
         for (int size : sizes) {
             all &= run(size, guard);
         }
         return all;
     }
 
+    /** Runs a small fleet unmeasured, so that the first size is not charged with a cold JVM. */
+    private void warmUp() throws IOException {
+        Path folder = Files.createTempDirectory("scale");
+        try (ScaleFleet fleet = new ScaleFleet(folder, WARM_SIZE, 0, threads, false, 0, seed)) {
+            fleet.startAll();
+            TestBench.pause((long) (number("scale.warm", 10) * 1e3));
+        } finally {
+            delete(folder);
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path each : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(each);
+            }
+        }
+    }
+
     private boolean run(int size, Guard guard) throws IOException {
         List<String> left = new ArrayList<>(plays);
         left.remove("start");
@@ -91,11 +113,7 @@
         } catch (IOException | RuntimeException e) {
             notRun(size, left, e);
         } finally {
-            try (Stream<Path> files = Files.walk(folder)) {
-                for (Path each : files.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.delete(each);
-                }
-            }
+            delete(folder);
         }
         return left.isEmpty();
     }
--- a/src/test/java/junipercourse/scale/ScaleRun.java
+++ b/src/test/java/junipercourse/scale/ScaleRun.java
@@ -21,8 +21,9 @@
  * {@code scale.real} (6), {@code scale.threads} (half the cores, 4 at most), {@code scale.seed} (34),
  * {@code scale.variant} (landed), {@code scale.commit} (unknown), {@code scale.delay} (most seconds a
  * datagram is held back, 0), {@code scale.least} (least seconds of a play, 5), {@code scale.calm} (s, 10),
- * {@code scale.apart} (s, 20), {@code scale.memory} (GB, 11), {@code scale.wall} (s, 1800),
- * {@code scale.packaged} (true; false runs the class path).
+ * {@code scale.apart} (s, 20), {@code scale.warm} (s of an unmeasured fleet before, 10),
+ * {@code scale.memory} (GB, 11), {@code scale.wall} (s, 1800), {@code scale.packaged} (true; false runs the
+ * class path).
  */
 class ScaleRun {
     private static final int END_S = 30;
