Scale run: tell how many full buffers were real members'

Need: a full buffer of a real dispatcher is its own fact, one of a hollow one the tool's. Change: drops of the real ones' sockets from /proc/net/udp beside the machine's count.

--- a/src/test/java/junipercourse/fleet/link/HollowLink.java
+++ b/src/test/java/junipercourse/fleet/link/HollowLink.java
@@ -15,9 +15,9 @@
 /**
  * {@link FleetLink} without threads and rings of its own, for many members on one thread: the same socket,
  * codec, rates, refusals and counts. What it leaves out are the two rings, so that {@code IN_RING_FULL} and
- * {@code OUT_RING_FULL} never come: what waits, waits in the socket's buffer,
- * which is longer by what the ring would hold. Between the sender and the
- * network lies a {@link Path}, which may lose a datagram or hold it back.
+ * {@code OUT_RING_FULL} never come: what waits, waits in the socket's buffer, which is longer by what the
+ * ring for what comes would hold. Between the sender and the network lies a {@link Path}, which may lose a
+ * datagram or hold it back.
  */
 public final class HollowLink implements Closeable {
     private static final int MOST_AT_ONCE = 256;
--- a/src/test/java/junipercourse/scale/Machine.java
+++ b/src/test/java/junipercourse/scale/Machine.java
@@ -6,6 +6,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** What the system tells of this machine. */
 final class Machine {
@@ -45,6 +48,17 @@
         return Long.parseLong(lines.get(1).split(" ")[names.indexOf("RcvbufErrors")]);
     }
 
+    /** Those of them that were sent to one of the first so many members, as far as their sockets are open. */
+    static long receiveBufferErrors(int members) throws IOException {
+        Set<String> addresses = IntStream.range(0, members).mapToObj(i -> Network.address(i).split("[.:]"))
+                .map(a -> "%02X%02X%02X%02X:%04X".formatted(Integer.valueOf(a[3]), Integer.valueOf(a[2]),
+                        Integer.valueOf(a[1]), Integer.valueOf(a[0]), Integer.valueOf(a[4])))
+                .collect(Collectors.toSet()); // as the system writes them on a little-endian machine
+        return Files.readAllLines(Path.of("/proc/net/udp")).stream().map(line -> line.trim().split(" +"))
+                .filter(fields -> addresses.contains(fields[1]))
+                .mapToLong(fields -> Long.parseLong(fields[fields.length - 1])).sum();
+    }
+
     /** Resident memory of this process. */
     static double residentMb() throws IOException {
         return Long.parseLong(Files.readString(Path.of("/proc/self/statm")).split(" ")[1]) / PAGES_MB;
--- a/src/test/java/junipercourse/scale/Meter.java
+++ b/src/test/java/junipercourse/scale/Meter.java
@@ -34,7 +34,7 @@
 
     /** All that is counted, at one moment. */
     private record Reading(double at, long[][] counts, double[] threadS, double[] realS, long stalls,
-            long bufferErrors, Machine.Processors machine) { }
+            long bufferErrors, long realBufferErrors, Machine.Processors machine) { }
 
     Meter(ScaleFleet fleet, Results results, Guard guard) {
         this.fleet = fleet;
@@ -65,7 +65,7 @@
         return new Reading(Network.now(), counts, fleet.threads.stream()
                 .mapToDouble(each -> threads.getThreadCpuTime(each.thread.getId()) / 1e9).toArray(), realS,
                 fleet.threads.stream().mapToLong(HollowThread::stalls).sum(), Machine.receiveBufferErrors(),
-                Machine.processors());
+                Machine.receiveBufferErrors(fleet.realCount), Machine.processors());
     }
 
     /** A play begins now. */
@@ -129,7 +129,8 @@
             why.add("the machine was %.0f%% busy".formatted(machine * 100));
         }
         if (end.bufferErrors > begin.bufferErrors) {
-            why.add((end.bufferErrors - begin.bufferErrors) + " datagrams found a socket's buffer full");
+            why.add((end.bufferErrors - begin.bufferErrors) + " datagrams found a socket's buffer full, "
+                    + (end.realBufferErrors - begin.realBufferErrors) + " of them a real member's");
         }
         if (end.stalls > begin.stalls) {
             why.add((end.stalls - begin.stalls) + " stalls of the hollow threads");
@@ -173,6 +174,7 @@
         figures.one("window", "s", seconds);
         figures.one("stalls", "stalls", end.stalls - begin.stalls);
         figures.one("rcvbuf_errors", "datagrams", end.bufferErrors - begin.bufferErrors);
+        figures.one("rcvbuf_errors_real", "datagrams", end.realBufferErrors - begin.realBufferErrors);
         figures.one("false_unreachable", "members", fleet.falselyUnreachable.size());
         figures.one("false_verdicts", "verdicts", fleet.falseVerdicts.get());
         double[] before = Arrays.copyOf(begin.realS, end.realS.length); // none ran before the start
