Scale run: ended from outside, it writes which plays were not run

Need: a run whose starter has ended left no word of the plays that it did not get to. Change: the shutdown hook ends the real ones and writes what is left, later sizes among it; written once.

--- a/src/test/java/junipercourse/scale/ScaleMain.java
+++ b/src/test/java/junipercourse/scale/ScaleMain.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
@@ -92,13 +93,19 @@
     }
 
     private boolean run(int size, Guard guard) throws IOException {
-        List<String> left = new ArrayList<>(plays);
+        List<String> left = Collections.synchronizedList(new ArrayList<>(plays));
         left.remove("start");
         left.add(0, "start"); // nothing is without it
         Path folder = Files.createTempDirectory("scale");
         try (ScaleFleet fleet = new ScaleFleet(folder, size, realCount, threads, packaged, delay, seed);
                 Meter meter = new Meter(fleet, results, guard)) {
-            Thread hook = new Thread(() -> fleet.real.forEach(RealMember::close), "end-real");
+            Thread hook = new Thread(() -> {
+                fleet.real.forEach(RealMember::close);
+                notRun(size, left, new Guard.CutShortException("ended from outside"));
+                for (int later : sizes.subList(sizes.indexOf(size) + 1, sizes.size())) {
+                    notRun(later, new ArrayList<>(plays), new Guard.CutShortException("ended from outside"));
+                }
+            }, "end-real");
             Runtime.getRuntime().addShutdownHook(hook);
             Plays all = new Plays(fleet, meter, guard, seed, leastS, calmS, apartS);
             try {
@@ -112,13 +119,18 @@
             }
         } catch (IOException | RuntimeException e) {
             notRun(size, left, e);
+            return false;
         } finally {
             delete(folder);
         }
-        return left.isEmpty();
+        return true;
     }
 
-    private void notRun(int size, List<String> left, Exception why) {
+    /** Writes and forgets what is left: a second reason, as when real ones were ended, is none. */
+    private synchronized void notRun(int size, List<String> left, Exception why) {
+        if (left.isEmpty()) {
+            return;
+        }
         System.out.println("cut short at " + size + " members: " + why);
         if (!(why instanceof Guard.CutShortException)) {
             why.printStackTrace(System.out);
@@ -126,5 +138,6 @@
         for (String play : left) {
             results.invalid(play, size, "not_run", "plays", 1, 1, 1, "cut short: " + why.getMessage());
         }
+        left.clear();
     }
 }
