Make the tables of docs/CAPACITY.md from results, and refuse a page that says else

Change: test code reads docs/capacity/*.jsonl, joins repeats, puts least-squares lines through sizes, reckons at the target with the step beside it, and fills the markers of the page; figures that do not count show why. docs/capacity/roles.json binds each need to a figure and a budget. No results yet: cells say "not measured".

--- /dev/null
+++ b/src/test/java/junipercourse/scale/page/RoleRows.java
@@ -0,0 +1,117 @@
+package junipercourse.scale.page;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import junipercourse.scale.page.Sizing.Budget;
+import junipercourse.scale.page.Sizing.Row;
+
+/** What each role needs at the size that is coming, held against what it may spend. */
+final class RoleRows {
+    private final Measurements results;
+    private final Sizing sizing;
+
+    RoleRows(Measurements results, Sizing sizing) {
+        this.results = results;
+        this.sizing = sizing;
+    }
+
+    /**
+     * A row with its need.
+     *
+     * @param factor budget over need; NaN if one of the two is not known
+     */
+    record Answer(Row row, Need need, Budget budget, double factor, String breaks) {
+        boolean known() {
+            return !Double.isNaN(factor);
+        }
+    }
+
+    List<Answer> all() {
+        List<Answer> all = new ArrayList<>();
+        for (Row row : sizing.rows()) {
+            all.add(answer(row));
+        }
+        return all;
+    }
+
+    /** Those with a budget, the least factor left first; then those that nobody has measured. */
+    List<Answer> byFactor() {
+        return all().stream().filter(each -> each.budget() != null).sorted(Comparator.comparingDouble(each ->
+            each.known() ? each.factor() : Double.MAX_VALUE)).toList();
+    }
+
+    private Answer answer(Row row) {
+        Budget budget = sizing.budgets().get(row.budget());
+        if (row.ref() == null) {
+            return new Answer(row, Need.none(row.why().isEmpty() ? Need.NOT_MEASURED : Need.NOT_MEASURED
+                + ": "
+                + row.why(), null), budget, Double.NaN, "");
+        }
+        Need need = sizing.need(results, row.ref());
+        if (budget == null || !need.known()) {
+            return new Answer(row, need, budget, Double.NaN, "");
+        }
+        String unit = need.unit();
+        Need held = need.with(value -> Units.convert(value, unit, budget.unit()), budget.unit(), "");
+        String counted = sizing.counted(row.ref().suite(), row.ref().play());
+        return new Answer(row, held, budget, held.value() > 0 ? budget.value() / held.value()
+            : Double.POSITIVE_INFINITY, breaks(held, budget, counted));
+    }
+
+    private static String breaks(Need need, Budget budget, String counted) {
+        if (need.slope() == null) {
+            return "not reckoned: one size";
+        }
+        double size = need.slope().meets(budget.value());
+        if (Double.isNaN(size)) {
+            return "does not grow";
+        }
+        if (size < need.slope().from()) {
+            return "under " + need.slope().from() + " " + counted + ", the least that was run";
+        }
+        return "*reckoned* " + (need.slope().faster() ? "at most " : "") + Units.number(size) + " " + counted;
+    }
+
+    String table() {
+        StringBuilder table = new StringBuilder(Cells.head("role", "what", "need at the size", "from",
+            "each more",
+            "carried by", "budget", "factor left", "breaks at"));
+        for (Answer each : all()) {
+            Need need = each.need();
+            String text = each.row().ref() == null && !each.row().text().isEmpty() ? each.row().text()
+                : each.row().text().isEmpty() ? need.text() : each.row().text() + ": " + need.text();
+            table.append(Cells.row(each.row().role(), each.row().what(), text, need.series() == null ? ""
+                : need.series() + " " + need.step(), need.known() ? Cells.slope(need.slope(), need.unit())
+                : "",
+                each.row().mechanism(), budget(each), factor(each), each.breaks()));
+        }
+        return table.toString();
+    }
+
+    String missing() {
+        StringBuilder table = new StringBuilder(Cells.head("order", "role", "what", "need at the size",
+            "budget",
+            "factor left", "breaks at", "carried by"));
+        int order = 0;
+        for (Answer each : byFactor()) {
+            table.append(Cells.row(each.known() ? String.valueOf(++order) : "", each.row().role(),
+                each.row().what(), each.need().text(), budget(each), factor(each), each.breaks(),
+                each.row().mechanism()));
+        }
+        return table.toString();
+    }
+
+    static String factor(Answer each) {
+        if (!each.known()) {
+            return each.budget() == null ? "" : Need.NOT_MEASURED;
+        }
+        String text = Double.isInfinite(each.factor()) ? "needs nothing" : Units.number(each.factor());
+        return each.factor() < 1 ? "**" + text + "**" : text;
+    }
+
+    private static String budget(Answer each) {
+        return each.budget() == null ? "none stated" : Units.with(each.budget().value(), each.budget().unit())
+            + " (" + each.budget().source() + ")";
+    }
+}
--- /dev/null
+++ b/src/test/java/junipercourse/scale/page/Samples.java
@@ -0,0 +1,50 @@
+package junipercourse.scale.page;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Made-up results that only tests read: no page shows them. */
+final class Samples {
+    private static final Path FOLDER = Path.of("src/test/resources/capacity");
+
+    private Samples() { }
+
+    static Tables tables() throws IOException {
+        return tables(lines());
+    }
+
+    static Tables tables(List<ResultLine> lines) throws IOException {
+        return new Tables(new Measurements(lines), sizing());
+    }
+
+    static List<ResultLine> lines() throws IOException {
+        return Measurements.read(FOLDER).lines();
+    }
+
+    static Sizing sizing() throws IOException {
+        return Sizing.read(FOLDER.resolve("sample-roles.json"));
+    }
+
+    static String rolesText() throws IOException {
+        return Files.readString(FOLDER.resolve("sample-roles.json"));
+    }
+
+    /** A result of the calm play; {@code why} is empty if it counts. */
+    static ResultLine line(int size, long seed, double median, double worst, String why) {
+        return new ResultLine("fleet", "calm", size, "before", seed, "2026-01-01", "sample", "sample",
+            "bytes_out",
+            "B/s", median, worst, size, why.isEmpty(), why);
+    }
+
+    /** The row of a table whose cells hold all these texts. */
+    static String row(String table, String... texts) {
+        List<String> rows = table.lines().filter(row -> Stream.of(texts).allMatch(row::contains)).toList();
+        if (rows.size() != 1) {
+            throw new AssertionError(rows.size() + " rows with " + List.of(texts) + " in\n" + table);
+        }
+        return rows.get(0);
+    }
+}
