Bind the page's roles to the tools' figures; a play that was not run needs its reason

Need: the measuring tools name plays and figures in their own way, and a misspelt name would stay "not measured" for ever.

--- a/src/test/java/junipercourse/scale/page/Measurements.java
+++ b/src/test/java/junipercourse/scale/page/Measurements.java
@@ -113,11 +113,12 @@
             .filter(series::containsKey).findFirst().orElse(null);
     }
 
-    /** Why a play gave nothing of a figure, by what its run left in its place; empty if it left nothing. */
+    /** Why nothing of a play counts, by what its runs say; empty if something counts. */
     String notRun(String suite, String play) {
         List<ResultLine> left = lines.stream().filter(line -> line.suite().equals(suite)
-            && line.play().equals(play) && !line.counts()).toList();
-        return left.isEmpty() ? "" : new Point(List.of(), left).doesNotCount();
+            && line.play().equals(play)).toList();
+        return left.isEmpty() || left.stream().anyMatch(ResultLine::counts) ? ""
+            : new Point(List.of(), left).doesNotCount();
     }
 
     String unit(Series which) {
@@ -171,7 +172,8 @@
         String doesNotCount() {
             return "did not count: " + others.stream().map(ResultLine::why).distinct()
                 .sorted(Comparator.naturalOrder()).reduce((a, b) -> a + "; " + b).orElse("")
-                .replace('|', '/').replaceAll("\\v+", " ").replace("<", "&lt;").replace(">", "&gt;");
+                .replace('|', '/').replaceAll("\\v+", " ")
+                .replace("<", "&lt;").replace(">", "&gt;");
         }
     }
 }
--- a/src/test/java/junipercourse/scale/page/PageTest.java
+++ b/src/test/java/junipercourse/scale/page/PageTest.java
@@ -106,6 +106,31 @@
         assertTrue(told.contains("table roles: the results of fleet hold no figure cpu"), told.toString());
     }
 
+    /** A play that is not there is a misspelt name or a gap: either is to be said. */
+    @Test
+    void aPlayThatWasNotRunNeedsItsReason() throws IOException {
+        assertTrue(Samples.row(Samples.tables().table("roles"), "| zone |")
+            .contains("not measured: the sample left it out"));
+        Sizing without = Sizing.read(Samples.rolesText().replace("fleet/zone_lost", "fleet/zone_back"));
+        String told = assertThrows(IllegalArgumentException.class, () ->
+            new Tables(new Measurements(Samples.lines()), without).table("roles")).getMessage();
+        assertTrue(told.startsWith("the results of fleet hold no play zone_lost"), told);
+    }
+
+    /** A tool that is cut short leaves a line that does not count in the figure's place. */
+    @Test
+    void aPlayThatWasCutShortShowsItsReason() throws IOException {
+        List<ResultLine> lines = new ArrayList<>(Samples.lines());
+        assertTrue(lines.removeIf(line -> line.play().equals("cut")));
+        lines.add(new ResultLine("fleet", "cut", 45, "before", 1, "2026-01-01", "sample", "sample", "not_run",
+            "plays", 1, 1, 1, false, "cut short: <memory>"));
+        lines.add(new ResultLine("fleet", "start", 45, "before", 1, "2026-01-01", "sample", "sample",
+            "bytes_out_worst_second", "B/s", 1, 1, 1, true, ""));
+        String table = Samples.tables(lines).table("roles");
+        assertTrue(Samples.row(table, "| cut |").contains("| did not count: cut short: &lt;memory&gt; |"),
+            table);
+    }
+
     @Test
     void aTableWithoutEndTakesNoProseWithIt() throws IOException {
         String page = page().replaceFirst("(?s)(<!-- table roles -->.*?)<!-- end -->", "$1");
--- a/src/test/java/junipercourse/scale/page/Sizing.java
+++ b/src/test/java/junipercourse/scale/page/Sizing.java
@@ -147,10 +147,6 @@
 
     /** The same at any size. */
     Need need(Measurements results, Ref ref, int size) {
-        if (results.holds(ref.suite()) && !results.holds(ref.suite(), ref.figure())) {
-            throw new IllegalArgumentException("the results of " + ref.suite() + " hold no figure "
-                + ref.figure());
-        }
         String key = ref.suite() + "/" + ref.play();
         if (results.holds(ref.suite()) && !results.holdsPlay(ref.suite(), ref.play())) {
             if (notRun.containsKey(key)) {
@@ -159,10 +155,16 @@
             throw new IllegalArgumentException("the results of " + ref.suite() + " hold no play " + ref.play()
                 + "; if it was not run, say why under not_run in roles.json");
         }
-        Series series = results.first(variants, ref.suite(), ref.play(), ref.figure());
         String left = results.notRun(ref.suite(), ref.play());
-        Need need = series == null && !left.isEmpty() ? Need.none(left, null)
-            : Need.at(results, series, ref.statistic(), size);
+        if (!left.isEmpty()) {
+            return Need.none(left, null);
+        }
+        if (results.holds(ref.suite()) && !results.holds(ref.suite(), ref.figure())) {
+            throw new IllegalArgumentException("the results of " + ref.suite() + " hold no figure "
+                + ref.figure());
+        }
+        Need need = Need.at(results, results.first(variants, ref.suite(), ref.play(), ref.figure()),
+            ref.statistic(), size);
         if (ref.times().isEmpty() || !need.known()) {
             return need;
         }
