Count the news in a word apart, so that answers are not held back by them

An answer that carried news used up the part of the flow that answers may use; answers then went missing and members were doubted in calm. The need's part now counts the word without its news.

--- a/src/main/java/junipercourse/fleet/view/Budget.java
+++ b/src/main/java/junipercourse/fleet/view/Budget.java
@@ -68,12 +68,15 @@
         return (int) Math.min(all.left(now) - need.leaves * all.most, parts[need.ordinal()].left(now));
     }
 
-    /** Whether so much may go out now; if so, it counts. */
-    boolean take(Need need, int size, double now) {
-        if (size > room(need, now)) {
+    /**
+     * Whether so much may go out now; if so, it counts. {@code news} more bytes in the same word, for which
+     * there was {@link #room} too, do not count against the need's own part.
+     */
+    boolean take(Need need, int size, int news, double now) {
+        if (size + news > all.left(now) || size > room(need, now)) {
             return false;
         }
-        all.left -= size;
+        all.left -= size + news;
         parts[need.ordinal()].left -= size;
         return true;
     }
--- a/src/main/java/junipercourse/fleet/view/Post.java
+++ b/src/main/java/junipercourse/fleet/view/Post.java
@@ -87,20 +87,20 @@
         Word word = new Word(self.name(), self.incarnation(), kind, question, about, digest, statements, 0,
             pages, buckets);
         int size = word.bytes() + settings.datagramOver();
-        int left = budget.room(need, now) - size;
-        if (left < 0) {
+        int news = 0;
+        if (size > budget.room(need, now)) {
             return false;
         }
         if (living && kind != Kind.PAGE && buckets.isEmpty()) {
-            int news = Math.min(left, (budget.room(Need.NEWS, now) - size) / NEWS_PART);
-            if (rumours.fill(statements, settings.statements(), news, agrees)) {
+            int room = (budget.room(Need.NEWS, now) - size) / NEWS_PART;
+            if (rumours.fill(statements, settings.statements(), room, agrees)) {
                 word = new Word(self.name(), self.incarnation(), kind, question, about, digest, statements, 0,
                     pages, buckets);
-                size = word.bytes() + settings.datagramOver();
+                news = word.bytes() + settings.datagramOver() - size;
             }
         }
-        if (!budget.take(need, size, now)) {
-            throw new IllegalStateException("a word of " + size + " bytes is over what was left");
+        if (!budget.take(need, size, news, now)) {
+            throw new IllegalStateException("a word of " + (size + news) + " bytes is over what is left");
         }
         out.send(address, word);
         return true;
