--- a/src/main/java/junipercourse/fleet/view/Prober.java
+++ b/src/main/java/junipercourse/fleet/view/Prober.java
@@ -26,8 +26,8 @@
     private static final int SLOWER_MOST = 1;
     /** Most members that we doubt ourselves at once: each takes some rounds with helpers. */
     private static final int DOUBTED_MOST = 4;
-    /** Bytes that a round with helpers takes; nobody new is doubted without them. */
-    private static final int ROUND_BYTES = 500;
+    /** What a round with a helper still takes once its first question has failed; nobody is doubted without. */
+    private static final int ROUND_BYTES = 300;
 
     private final Settings settings;
     private final Roll roll;
