Show how many words the fleet's budget has held back, and its bound

A bound that is met has to be seen: SHOW FLEET tells held_by_budget and budget_bytes_per_s. ScaleRunTest holds hollow members on real sockets to the budget in each play.

--- a/src/main/java/junipercourse/fleet/Fleet.java
+++ b/src/main/java/junipercourse/fleet/Fleet.java
@@ -48,6 +48,7 @@
     private volatile String failure;
     private volatile boolean ending;
     private volatile long stalls;
+    private volatile long held;
     private long readFirst;
     private double readFirstUntil;
 
@@ -97,7 +98,7 @@
 
     @Override
     public void showIn(Shows shows) {
-        shows.add("fleet", rows -> table.fill(rows, snapshot, failure, stalls, now()),
+        shows.add("fleet", rows -> table.fill(rows, snapshot, failure, stalls, held, now()),
                 FleetTable.COLUMNS.toArray(new String[0]));
     }
 
@@ -165,6 +166,7 @@
             }
             view.heard(now, mail.address(), mail.word());
         }
+        held = view.held();
         if (!all) {
             link.look();
         } else if (now >= view.next()) {
--- a/src/main/java/junipercourse/fleet/FleetTable.java
+++ b/src/main/java/junipercourse/fleet/FleetTable.java
@@ -28,11 +28,12 @@
     }
 
     /** {@code snapshot} and {@code failure} may be null; {@code now} is in the view's time. */
-    void fill(Shows.Rows rows, Snapshot snapshot, String failure, long stalls, double now) {
+    void fill(Shows.Rows rows, Snapshot snapshot, String failure, long stalls, long held, double now) {
         figure(rows, "view", "fleet", part.name());
         figure(rows, "view", "state", failure != null ? "failed: " + failure : link.bound()
                 ? "on" : "waits for its address");
         figure(rows, "view", "stalls", stalls);
+        figure(rows, "view", "held_by_budget", held);
         if (snapshot != null) {
             Member self = snapshot.self();
             rows.add("self", self.name(), self.incarnation() == 0 ? "no_life_yet" : "alive",
@@ -55,6 +56,7 @@
         for (Refusal why : Refusal.values()) {
             figure(rows, "dropped", why.shown(), tally.refused(why));
         }
+        figure(rows, "bound", "budget_bytes_per_s", part.view().bytesASecond());
         figure(rows, "bound", "peer_bytes_per_s", Math.round(part.bounds().peerBytes()));
         figure(rows, "bound", "bytes_per_s", Math.round(part.bounds().allBytes()));
         figure(rows, "bound", "peer_datagrams_per_s", Math.round(part.bounds().sourceDatagrams()));
--- a/src/main/java/junipercourse/fleet/view/Post.java
+++ b/src/main/java/junipercourse/fleet/view/Post.java
@@ -21,6 +21,7 @@
     private Statement self;
     private long number;
     private double now;
+    private long held;
 
     Post(Settings settings, Roll roll, Rumours rumours, Out out) {
         this.settings = settings;
@@ -49,6 +50,11 @@
         return ++number;
     }
 
+    /** Words that the budget had no room for, so far. */
+    long held() {
+        return held;
+    }
+
     /** Bytes of statements that a word for this need may still hold; below 0 if none may go. */
     int room(Need need) {
         return budget.room(need, now) - settings.datagramOver() - new Word(self.name(), self.incarnation(),
@@ -89,6 +95,7 @@
         int size = word.bytes() + settings.datagramOver();
         int news = 0;
         if (size > budget.room(need, now)) {
+            held++;
             return false;
         }
         if (living && kind != Kind.PAGE && buckets.isEmpty()) {
--- a/src/main/java/junipercourse/fleet/view/View.java
+++ b/src/main/java/junipercourse/fleet/view/View.java
@@ -180,18 +180,14 @@
             prober.tick(now, statement -> learner.join(statement, true, now));
             calls.reach(now);
             calls.askDiffering(now);
-            forget(now);
+            if (now >= nextForget) {
+                nextForget = now + FORGET_EVERY_S;
+                roll.due(now).forEach(statement -> learner.join(statement, true, now));
+            }
         }
         tell(now);
     }
 
-    private void forget(double now) {
-        if (now >= nextForget) {
-            nextForget = now + FORGET_EVERY_S;
-            roll.due(now).forEach(statement -> learner.join(statement, true, now));
-        }
-    }
-
     /**
      * A gap of our own has just ended, in which we read nothing: questions and the time of suspects begin
      * anew.
@@ -241,6 +237,11 @@
         }
     }
 
+    /** Words held back by the budget, so far. */
+    public long held() {
+        return post.held();
+    }
+
     /** What is known now. */
     public Snapshot snapshot() {
         boolean agreed = life.living() && roll.agreed(post.self().name(), at);
--- a/src/test/java/junipercourse/fleet/view/BudgetTest.java
+++ b/src/test/java/junipercourse/fleet/view/BudgetTest.java
@@ -105,6 +105,7 @@
             }
         }
         assertTrue(seconds.most <= BYTES, () -> "seed " + seed + ": " + seconds.most);
+        assertTrue(view.held() > 1000, () -> "seed " + seed + ": " + view.held() + " held back");
         assertTrue(seconds.all > 30 * BYTES / 2, () -> "seed " + seed + ": no flood, " + seconds.all);
     }
 
--- a/src/test/java/junipercourse/scale/ScaleRunTest.java
+++ b/src/test/java/junipercourse/scale/ScaleRunTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import junipercourse.fleet.view.Settings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -18,6 +19,8 @@
     private static final long SEED = Long.getLong("scale.seed", 34);
     private static final int SIZE = 14;
     private static final int REAL = 2;
+    /** What a member's view may send in any second; the product file of the run leaves it at that. */
+    private static final int BUDGET = Settings.defaults().bytesASecond();
     @TempDir
     private Path folder;
 
@@ -44,6 +47,11 @@
             assertTrue(figure(lines, play, "settled") > 0, play);
             assertTrue(figure(lines, play, "bytes_out") > 0, play);
         }
+        for (JsonObject line : lines) {
+            if (line.getString("figure", "").equals("bytes_out_worst_second")) {
+                assertTrue(line.getDouble("worst", BUDGET + 1) <= BUDGET, line::toString);
+            }
+        }
         assertEquals(50 * (SIZE - REAL), figure(lines, "events", "events_heard"));
         assertTrue(figure(lines, "calm", "datagrams_in") > 0);
         figure(lines, "calm", "heap"); // it is there; here others share the heap
