Scale run: count no window shorter than a second as the worst second

The sampler wakes each second, a play begins at any time; the first window was so a part of a second, in which what was saved up goes out at once: 15.9 KB/s were told of a member at 180 that cannot send over 6 KB in any.

--- a/src/test/java/junipercourse/scale/Meter.java
+++ b/src/test/java/junipercourse/scale/Meter.java
@@ -26,6 +26,7 @@
     private final Guard guard;
     private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
     private final Thread sampler = new Thread(this::sample, "meter");
+    private static final double LEAST_WINDOW_S = 0.95;
     private volatile boolean closed;
     private long[] secondBefore;
     private double secondAt;
@@ -111,6 +112,9 @@
     private synchronized void second() {
         long[] now = bytesOut();
         double at = Network.now();
+        if (at - secondAt < LEAST_WINDOW_S) {
+            return; // the sampler came soon after a play's begin; less than a second would tell too much
+        }
         for (int i = 0; i < now.length; i++) {
             worstSecond[i] = Math.max(worstSecond[i], (now[i] - secondBefore[i]) / (at - secondAt));
         }
