--- a/src/test/java/junipercourse/fleet/view/VirtualScale.java
+++ b/src/test/java/junipercourse/fleet/view/VirtualScale.java
@@ -191,9 +191,9 @@
         double seconds = Math.max(STEP_S, world.now - from);
         List<World.Process> running = world.processes.stream().filter(World.Process::runs).toList();
         add(play, "bytes_out", "B/s", running, p -> p.sent.bytes / seconds);
-        add(play, "bytes_out_worst_second", "B", running, p -> p.sent.worst());
+        add(play, "bytes_out_worst_second", "B/s", running, p -> p.sent.worst());
         add(play, "bytes_in", "B/s", running, p -> p.read.bytes / seconds);
-        add(play, "datagrams_out", "1/s", running, p -> p.sent.datagrams / seconds);
+        add(play, "datagrams_out", "datagrams/s", running, p -> p.sent.datagrams / seconds);
         if (settled != 0) {
             sink.settled(play, size, settled);
         }
