--- a/src/test/java/junipercourse/scale/page/Measurements.java
+++ b/src/test/java/junipercourse/scale/page/Measurements.java
@@ -65,6 +65,24 @@
         }
     }
 
+    /**
+     * Without what turned out to be no measurement: figures that a tool's fault has spoilt, and calm that was
+     * played before the fleet had settled.
+     */
+    Measurements without(Map<String, String> voided) {
+        List<ResultLine> left = new ArrayList<>();
+        for (ResultLine line : lines) {
+            String why = voided.get(line.suite() + "/" + line.figure() + "/" + line.commit());
+            boolean unsettled = line.play().equals("calm") && lines.stream().anyMatch(other ->
+                other.figure().equals("unsettled") && other.median() > 0 && other.play().equals("calm")
+                && other.size() == line.size() && other.variant().equals(line.variant())
+                && other.commit().equals(line.commit()) && other.seed() == line.seed());
+            left.add(!line.counts() ? line : why != null ? line.not(why)
+                : unsettled ? line.not("the fleet had not settled when the play began") : line);
+        }
+        return new Measurements(left);
+    }
+
     List<ResultLine> lines() {
         return lines;
     }
--- a/src/test/java/junipercourse/scale/page/MeasurementsTest.java
+++ b/src/test/java/junipercourse/scale/page/MeasurementsTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import junipercourse.scale.page.Measurements.Point;
 import junipercourse.scale.page.Series.Statistic;
 import org.junit.jupiter.api.Test;
@@ -81,6 +82,20 @@
         assertEquals(Need.How.NONE, need.how());
     }
 
+    @Test
+    void whatAToolSpoiltOrWasNotSettledDoesNotCount() {
+        ResultLine calm = ResultLine.read(GOOD);
+        String key = calm.suite() + "/" + calm.figure() + "/" + calm.commit();
+        Measurements spoilt = new Measurements(List.of(calm)).without(Map.of(key, "the meter was wrong"));
+        assertEquals("did not count: the meter was wrong", Cells.point(spoilt.points(Series.of(calm))
+            .get(calm.size())));
+        Measurements other = new Measurements(List.of(calm)).without(Map.of("fleet/other/x", "no such"));
+        assertEquals(calm.counts(), other.lines().get(0).counts());
+        ResultLine unsettled = ResultLine.read(GOOD.replace("\"" + calm.figure() + "\"", "\"unsettled\""));
+        Measurements early = new Measurements(List.of(calm, unsettled)).without(Map.of());
+        assertEquals(calm.play().equals("calm"), !early.lines().get(0).counts());
+    }
+
     @Test
     void oneSeriesHasOneUnit() {
         ResultLine line = ResultLine.read(GOOD);
--- a/src/test/java/junipercourse/scale/page/ResultLine.java
+++ b/src/test/java/junipercourse/scale/page/ResultLine.java
@@ -57,6 +57,12 @@
         }
     }
 
+    /** The same line, which does not count. */
+    ResultLine not(String reason) {
+        return new ResultLine(suite, play, size, variant, seed, day, commit, machine, figure, unit, median,
+            worst, count, false, reason);
+    }
+
     private static String text(JsonObject line, String name) {
         String text = line.get(name).asString();
         if (text.isBlank() && !name.equals("unit") || text.matches("(?s).*[|<>\\v].*")) {
