Let whoever tries a suspect in vain take the suspicion up

Cause: with over 20 members only who raised a suspicion tries often; the others try once in as many seconds as there are members (Suspects.tick) and need three failures each, so that a suspect whose raiser is gone stayed present for minutes. Change: a failed try makes it one's own (Prober.silent).

--- a/src/main/java/junipercourse/fleet/view/Prober.java
+++ b/src/main/java/junipercourse/fleet/view/Prober.java
@@ -176,6 +176,10 @@
         health = alone ? Math.min(settings.healthMost(), health + 1) : Math.max(0, health - 1);
         if (peer.st.standing() == Standing.SUSPECT) {
             peer.failed++;
+            if (!peer.ours) { // who raised it may be gone
+                peer.ours = true;
+                peer.nextTry = now;
+            }
         } else if (alone || peer.doubted && round.start >= peer.doubtedAt) { // alone: nobody to spare
             peer.ours = true;
             verdicts.say(peer.st.with(Standing.SUSPECT));
--- a/src/test/java/junipercourse/fleet/view/LargeFleetTest.java
+++ b/src/test/java/junipercourse/fleet/view/LargeFleetTest.java
@@ -102,6 +102,25 @@
         assertTrue(told.size() < 40, told::toString);
     }
 
+    /** Whoever raised a suspicion is gone, and all have heard of it: another takes it up. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aSuspicionOutlivesWhoRaisedIt(long seed) {
+        World world = world(seed, SIZE);
+        World.Process victim = world.processes.get(20);
+        Member life = world.judge.life(victim);
+        Statement doubt = VerdictsTest.said(victim, victim.name).with(Standing.SUSPECT);
+        victim.kill();
+        for (World.Process process : world.processes) {
+            if (process.runs()) {
+                process.view.heard(process.local(), "10.9.0.1:7400", new Word("n99", 0, Kind.PING, 1, "", 7,
+                    List.of(doubt), 0, 0));
+            }
+        }
+        world.run(20);
+        assertEquals(0, world.judge.unaware(life), () -> "seed " + seed + ": " + world.judge.agreed());
+    }
+
     /** Who bears our digest is told no news that it shows; nothing is told more often than its passes. */
     @Test
     void newsGoToWhoMayNotKnowThem() {
