Review case 2: a request runs at two engines at once after one of them hung for 2.5 s

Cause: EngineAttempt takes a 500 to a poll for the end of an attempt whose POST the engine has never answered, and the request goes to another engine without a DELETE.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -f "$root/target/junipercourse.jar" ] && [ -d "$root/review/out" ] || exit 2
-cd "$root" && exec java -cp review/out review.SpoiltLength "$root" "$here/record.txt"
+cd "$root" && exec java -cp review/out review.SpoiltHead "$root" "$here/record.txt"
--- a/review/standins/review/Engine.java
+++ b/review/standins/review/Engine.java
@@ -55,6 +55,7 @@
     private volatile boolean closed;
     private volatile int otherSessions;
     private int posts;
+    private RunListener runListener;
 
     public Engine(String name, Record record, Wire wire) throws IOException {
         this.name = name;
@@ -82,6 +83,40 @@
         }
     }
 
+    /**
+     * Lets the engine hang: all that it does stands still, and what waits goes on in no certain
+     * order, as each connection is served on its own.
+     */
+    public void hang(double seconds) {
+        daemon(
+                () -> {
+                    synchronized (runs) {
+                        record.line(name, "hangs for " + seconds + " s");
+                        sleep((long) (seconds * 1000));
+                        record.line(name, "goes on");
+                    }
+                });
+    }
+
+    /** Called with the id when a query starts and when it ends, is deleted or dropped. */
+    public interface RunListener {
+        void changed(Engine engine, String id, boolean runs);
+    }
+
+    public void setRunListener(RunListener listener) {
+        runListener = listener;
+    }
+
+    private void report(String id, boolean running) {
+        if (runListener != null) {
+            runListener.changed(this, id, running);
+        }
+    }
+
+    public String name() {
+        return name;
+    }
+
     private int sessions() {
         synchronized (runs) {
             return otherSessions + (int) runs.values().stream().filter(run -> !run.ended).count();
@@ -142,6 +177,7 @@
                             if (!run.ended && now >= run.endsAt) {
                                 run.ended = true;
                                 record.line(name, "ran " + id + " to its end");
+                                report(id, false);
                                 runs.notifyAll();
                             }
                         });
@@ -152,6 +188,7 @@
                                             now - entry.getValue().askedAt > EXPIRY_MILLIS;
                                     if (expired && !entry.getValue().ended) {
                                         record.line(name, "dropped " + entry.getKey() + ", not asked for");
+                                        report(entry.getKey(), false);
                                     }
                                     return expired;
                                 });
@@ -201,7 +238,7 @@
             if (!matcher.find()) {
                 return head("500 Error", "", 0);
             }
-            record.line(name, "got POST " + id);
+            record.line(name, "has read POST " + id);
             synchronized (runs) {
                 posts++;
                 if (sessions() >= SESSIONS) {
@@ -213,6 +250,8 @@
                 run.askedAt = System.currentTimeMillis();
                 run.endsAt = run.askedAt + Long.parseLong(matcher.group(1));
                 runs.put(id, run);
+                record.line(name, "starts " + id);
+                report(id, true);
             }
             return news(id);
         }
@@ -224,6 +263,7 @@
                 if (run != null) {
                     run.deleted = true;
                     record.line(name, "deleted " + id);
+                    report(id, false);
                     runs.notifyAll();
                 }
             }
@@ -238,6 +278,7 @@
             while (true) {
                 Run run = runs.get(id);
                 if (run == null) {
+                    record.line(name, "answers 500, does not know " + id);
                     return head("500 Error", "", 0);
                 }
                 long now = System.currentTimeMillis();
@@ -262,6 +303,7 @@
                 if (System.currentTimeMillis() >= run.endsAt && !run.deleted && !run.ended) {
                     run.ended = true;
                     record.line(name, "ran " + id + " to its end");
+                    report(id, false);
                 }
             }
         }
