--- a/review/standins/review/Dispatcher.java
+++ b/review/standins/review/Dispatcher.java
@@ -17,7 +17,7 @@
     /** Settings of a small deployment: one site, three classes as those of hobart-main. */
     private static final String SETTINGS =
             """
-            {"balancers":1,"ordinal":0,"my_zone":0,"dcs":["hobart"],"kinds":["std-12"],
+            {"balancers":%d,"ordinal":0,"my_zone":0,"dcs":["hobart"],"kinds":["std-12"],
              "clients":{"marks_retry":true},"registry_mode":"push","weights":"rough",
              "worth_by":"request","over_share_worth":0.05,"tick_s":0.005,
              "family":"queries",
@@ -48,8 +48,13 @@
     private final InetSocketAddress address;
     private final Process process;
 
-    /** Starts a dispatcher that knows the engines, and waits until it answers an empty query. */
-    public Dispatcher(Path root, List<Engine> engines, Record record) throws IOException {
+    /**
+     * Starts a dispatcher that knows the engines, and waits until it answers an empty query.
+     *
+     * @param dispatchers how many the settings say there are
+     */
+    public Dispatcher(Path root, int dispatchers, List<Engine> engines, Record record)
+            throws IOException {
         folder = Files.createTempDirectory("review");
         int port;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
@@ -75,7 +80,7 @@
                    "members":[%s]}}]},
                  "settings":%s}
                 """
-                        .formatted(port, String.join(",", members), SETTINGS));
+                        .formatted(port, String.join(",", members), SETTINGS.formatted(dispatchers)));
         Path temp = Files.createDirectory(folder.resolve("tmp"));
         String run =
                 Files.readAllLines(root.resolve("deploy/balancer.toml")).stream()
@@ -91,6 +96,7 @@
         builder.environment().put("TMPDIR", temp.toString());
         builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
         process = builder.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
         record.line("dispatcher", "started");
         awaitReady();
         record.line("dispatcher", "answers an empty query");
--- a/review/standins/review/FullEngines.java
+++ b/review/standins/review/FullEngines.java
@@ -43,7 +43,7 @@
                                 thread.setDaemon(true);
                                 return thread;
                             });
-            try (Dispatcher dispatcher = new Dispatcher(root, engines, record)) {
+            try (Dispatcher dispatcher = new Dispatcher(root, 2, engines, record)) {
                 Random random = new Random(46);
                 double start = record.seconds();
                 boolean full = false;
@@ -76,6 +76,11 @@
                 postsInLastThird = engines.stream().mapToInt(Engine::posts).sum() - postsBefore;
                 clients.shutdown();
                 clients.awaitTermination(9, TimeUnit.SECONDS);
+                try (Client front = new Client(dispatcher.address())) {
+                    record.line(
+                            "front",
+                            "empty query answered: " + front.query("", 2000).emptyQuery());
+                }
                 if (!dispatcher.process().isAlive()) {
                     throw new IllegalStateException("the dispatcher has ended: " + dispatcher.log());
                 }
@@ -102,17 +107,27 @@
         System.exit(served[2].get() < LEAST_SHARE * sent[2].get() ? 1 : 0);
     }
 
+    /** A number from 0 to 99 that a request's number determines. */
+    private static int percentile(int number) {
+        return new Random(number * 7919L).nextInt(100);
+    }
+
     /** Sends one quick-check on a connection of its own; returns whether it was served whole. */
     private static boolean query(Dispatcher dispatcher, int number, Record record) throws Exception {
         String id = "%016x".formatted(0x46100000L + number);
         String who = "client-" + number;
         try (Client client = new Client(dispatcher.address())) {
             record.line(who, "sends " + id);
+            int share = percentile(number);
+            String owner =
+                    share < 41
+                            ? "southern-rentals"
+                            : share < 81 ? "tamar-property" : "coastal-lettings";
             Client.Answer answer =
                     client.query(
-                            ("/* kind=quick-check,req=%s,timeout=7000,owner=tamar-property,ms=300.0,ram=96 */"
+                            ("/* kind=quick-check,req=%s,timeout=7000,owner=%s,ms=300.0,ram=96 */"
                                             + " SELECT day, n, note FROM sales_%d.orders WHERE tag = 'work=300 rows=20'")
-                                    .formatted(id, number % 20),
+                                    .formatted(id, owner, number % 20),
                             8000);
             record.line(who, id + " " + answer.summary());
             return answer.tag() != null && answer.rows().equals(Engine.rowsOf(id, 20));
--- a/review/standins/review/HungEngine.java
+++ b/review/standins/review/HungEngine.java
@@ -69,7 +69,7 @@
             }
             ExecutorService clients = Executors.newCachedThreadPool();
             int sent = 0;
-            try (Dispatcher dispatcher = new Dispatcher(root, engines, record)) {
+            try (Dispatcher dispatcher = new Dispatcher(root, 1, engines, record)) {
                 Random random = new Random(46);
                 double start = record.seconds();
                 boolean hung = false;
--- a/review/standins/review/SpoiltHead.java
+++ b/review/standins/review/SpoiltHead.java
@@ -37,7 +37,7 @@
                 engines.add(new Engine("engine-" + i, record, wire));
             }
             ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
-            try (Dispatcher dispatcher = new Dispatcher(root, engines, record)) {
+            try (Dispatcher dispatcher = new Dispatcher(root, 1, engines, record)) {
                 List<Future<?>> futures = new ArrayList<>();
                 for (int c = 0; c < CLIENTS; c++) {
                     int first = c;
