--- a/review/standins/review/Dispatcher.java
+++ b/review/standins/review/Dispatcher.java
@@ -44,6 +44,9 @@
                {"name":"coastal-lettings","portion":0.19,"quota_per_s":20.0}]}\
             """;
 
+    /** A case that takes longer could not run; its processes end with it. */
+    private static final long LONGEST_CASE_MILLIS = 110_000;
+
     private final Path folder;
     private final InetSocketAddress address;
     private final Process process;
@@ -55,6 +58,9 @@
      */
     public Dispatcher(Path root, int dispatchers, List<Engine> engines, Record record)
             throws IOException {
+        Thread watchdog = new Thread(Dispatcher::endLongCase);
+        watchdog.setDaemon(true);
+        watchdog.start();
         folder = Files.createTempDirectory("review");
         int port;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
@@ -102,6 +108,15 @@
         record.line("dispatcher", "answers an empty query");
     }
 
+    private static void endLongCase() {
+        try {
+            Thread.sleep(LONGEST_CASE_MILLIS);
+        } catch (InterruptedException e) {
+            return;
+        }
+        System.exit(2);
+    }
+
     private void awaitReady() throws IOException {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
         while (System.nanoTime() < until && process.isAlive()) {
--- a/review/standins/review/Engine.java
+++ b/review/standins/review/Engine.java
@@ -53,7 +53,7 @@
     private final List<Socket> connections = new ArrayList<>();
     private final Map<String, Run> runs = new HashMap<>();
     private volatile boolean closed;
-    private volatile int otherSessions;
+    private volatile boolean full;
     private int posts;
     private RunListener runListener;
 
@@ -70,10 +70,13 @@
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
 
-    /** Sets how many sessions the queries of other dispatchers hold. */
-    public void setOtherSessions(int count) {
-        otherSessions = count;
-        record.line(name, "other dispatchers hold " + count + " of " + SESSIONS + " sessions");
+    /** Sets whether other dispatchers' queries take every session that is free. */
+    public void setFull(boolean isFull) {
+        full = isFull;
+        record.line(
+                name,
+                "other dispatchers' queries "
+                        + (isFull ? "take every free one of " + SESSIONS + " sessions" : "have ended"));
     }
 
     /** The number of starts of queries that have arrived whole. */
@@ -119,7 +122,7 @@
 
     private int sessions() {
         synchronized (runs) {
-            return otherSessions + (int) runs.values().stream().filter(run -> !run.ended).count();
+            return full ? SESSIONS : (int) runs.values().stream().filter(run -> !run.ended).count();
         }
     }
 
--- a/review/standins/review/FullEngines.java
+++ b/review/standins/review/FullEngines.java
@@ -56,7 +56,7 @@
                     if (fullNow != full) {
                         full = fullNow;
                         for (Engine engine : engines) {
-                            engine.setOtherSessions(full ? Engine.SESSIONS : 0);
+                            engine.setFull(full);
                         }
                     }
                     if (next >= LAST_THIRD && postsBefore < 0) {
