Move building an attempt's completion out of EngineAttempt

AttemptCompletionFactory takes the reading of load report and cost from it. ArchitectureTest, MalformedResponseTest and DuplicateResponseTest pass.

--- a/src/main/java/junipercourse/engine/EngineAttempt.java
+++ b/src/main/java/junipercourse/engine/EngineAttempt.java
@@ -5,7 +5,6 @@
 import static junipercourse.decision.api.AttemptOutcome.OBSOLETE;
 import static junipercourse.decision.api.AttemptOutcome.REJECTED;
 
-import java.util.List;
 import junipercourse.core.Backend;
 import junipercourse.core.Backend.AttemptCompletion;
 import junipercourse.core.Backend.AttemptListener;
@@ -35,7 +34,7 @@
     private final EnginePool pool;
     private final Query query;
     private final double deadline;
-    private final EngineClient.LoadReportReader loadReports;
+    private final AttemptCompletionFactory completions;
     private final Counters counters;
     private final AttemptListener listener;
     private final ResultPages pages = new ResultPages();
@@ -60,7 +59,7 @@
         this.pool = pool;
         this.query = query;
         this.deadline = deadline;
-        this.loadReports = loadReports;
+        completions = new AttemptCompletionFactory(loadReports);
         this.counters = counters;
         this.listener = listener;
         connections = new AttemptConnections(loop, pool, liveness);
@@ -184,13 +183,13 @@
         switch (response.status()) {
             case 200 -> handleOk(response);
             case 202 -> handleRunning(isTrusted);
-            case 503 -> finish(withLoadReport(neverRan ? REJECTED : ERROR, response));
-            case 504 -> finish(withLoadReport(neverRan ? OBSOLETE : ERROR, response));
+            case 503 -> finish(completions.notServed(neverRan ? REJECTED : ERROR, response));
+            case 504 -> finish(completions.notServed(neverRan ? OBSOLETE : ERROR, response));
             case 500 -> {
                 if (mayHaveExpired) {
                     finishNotPolled();
                 } else {
-                    finish(withLoadReport(ERROR, response));
+                    finish(completions.notServed(ERROR, response));
                 }
             }
             default -> handleMalformed(); // 204, say, never answers a poll and proves no completion
@@ -214,11 +213,6 @@
         retryPoll();
     }
 
-    private AttemptCompletion withLoadReport(AttemptOutcome outcome, HttpResponse response) {
-        return new AttemptCompletion(
-                outcome, loadReports.read(response.header("x-gauges")), 0, 0, List.of());
-    }
-
     private void handleOk(HttpResponse response) {
         liveness.recordResponse();
         okResponse = response;
@@ -232,17 +226,11 @@
 
     private void onFetched(boolean isComplete) {
         if (isComplete) {
-            finish(
-                    new AttemptCompletion(
-                            AttemptOutcome.OK,
-                            loadReports.read(okResponse.header("x-gauges")),
-                            okResponse.decimalHeader("x-effort") / 1000,
-                            okResponse.decimalHeader("x-footprint"),
-                            pages.toList()));
+            finish(completions.served(okResponse, pages));
         } else if (liveness.mayHaveExpiredUnpolled()) {
             finishNotPolled();
         } else {
-            finish(withLoadReport(ERROR, okResponse));
+            finish(completions.notServed(ERROR, okResponse));
         }
     }
 
--- a/src/test/java/junipercourse/ArchitectureTest.java
+++ b/src/test/java/junipercourse/ArchitectureTest.java
@@ -40,7 +40,7 @@
                     Map.entry("Connection.java", 252),
                     Map.entry("Gateway.java", 253),
                     Map.entry("Config.java", 256),
-                    Map.entry("EngineAttempt.java", 272),
+                    Map.entry("EngineAttempt.java", 261),
                     Map.entry("EventLoop.java", 261),
                     Map.entry("EndpointWatcher.java", 257),
                     Map.entry("DispatcherServer.java", 307),
