Take a first page without a readable page count for malformed and fetch it again

Cause: ResultPages.addFirst counted one page where X-Fetches was missing. The protocol states it in each answer 200 to page 0, so an answer without it has been damaged on its way, and the result looked complete. An unreadable count was refused already. Change: a missing count is malformed like an unreadable one. The query has ended and the engine repeats page 0, so a further poll gives the whole result; if the count never comes, the attempt ends with an error and no row. Malformed first pages are logged with their engine and the reason, which no log or counter told apart before. Test: PageCountTest.

--- a/src/main/java/junipercourse/engine/EngineAttempt.java
+++ b/src/main/java/junipercourse/engine/EngineAttempt.java
@@ -37,7 +37,7 @@
     private final AttemptCompletionFactory completions;
     private final Counters counters;
     private final AttemptListener listener;
-    private final ResultPages pages = new ResultPages();
+    private final ResultPages pages;
     private final AttemptLiveness liveness = new AttemptLiveness();
     private final AttemptConnections connections;
     private final AttemptCancellation cancellation;
@@ -62,6 +62,7 @@
         completions = new AttemptCompletionFactory(loadReports);
         this.counters = counters;
         this.listener = listener;
+        pages = new ResultPages(pool.engineName());
         connections = new AttemptConnections(loop, pool, liveness);
         cancellation =
                 new AttemptCancellation(
