Refuse a response whose deciding headers are given twice with different values

What callers would see: a first page with X-Fetches: 2 and X-Fetches: 1 was served as a result of one page. Cause: HttpResponseParser kept the last value of a repeated header. Only Content-Length was checked. A contradictory header is as unreadable as a missing one, and was guessed likewise. Change: differing values of Content-Length, Transfer-Encoding, X-Fetches, X-Fetch and X-Unrun make the response malformed; repeated equal values and other headers are accepted as before. Test: PageCountTest (1 case) and HttpResponseParserTest (4 cases) failed before the change (one page served in place of two; no exception) and pass after it.

--- a/src/main/java/junipercourse/engine/HttpResponseParser.java
+++ b/src/main/java/junipercourse/engine/HttpResponseParser.java
@@ -6,12 +6,17 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 
 /** Parses HTTP/1.1 responses from bytes received in pieces of any size; rejects anything else. */
 final class HttpResponseParser {
     private static final int MAX_LINE_BYTES = 4 * 1024;
     private static final int MAX_HEADERS = 32;
 
+    /** Headers that decide what a response means; one with two values is unreadable. */
+    private static final Set<String> SINGLE_VALUE_HEADERS =
+            Set.of("content-length", "transfer-encoding", "x-fetches", "x-fetch", "x-unrun");
+
     /** 1xx responses before a final one, which could otherwise go on forever. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
@@ -169,8 +174,8 @@
         String name = text.substring(0, colon).toLowerCase(Locale.ROOT);
         String value = text.substring(colon + 1).trim();
         String previous = headers.put(name, value);
-        if (previous != null && name.equals("content-length") && !previous.equals(value)) {
-            throw new MalformedResponseException("conflicting Content-Length headers");
+        if (previous != null && SINGLE_VALUE_HEADERS.contains(name) && !previous.equals(value)) {
+            throw new MalformedResponseException("conflicting headers of the name " + name);
         }
     }
 
--- a/src/test/java/junipercourse/engine/HttpResponseParserTest.java
+++ b/src/test/java/junipercourse/engine/HttpResponseParserTest.java
@@ -25,6 +25,8 @@
             value = {
                 "HTTP/1.1 202 Accepted~Content-Length: 0~~ | 202 '' true",
                 "HTTP/1.1 200 OK~content-LENGTH:3~X-Fetches: 2~~abc | 200 'abc' true",
+                "HTTP/1.1 200 OK~X-Fetches: 2~X-Fetches: 2~Via: a~Via: b~Content-Length: 0~~ | 200"
+                        + " '' true",
                 "HTTP/1.1 204 No Content~~ | 204 '' true",
                 "HTTP/1.1 200~Content-Length: 1~Connection: close~~x | 200 'x' false",
                 "HTTP/1.0 200 OK~Content-Length: 1~~x | 200 'x' false",
@@ -78,6 +80,10 @@
                 "HTTP/1.1 200 OK~Content-Length: 99999999~~",
                 "HTTP/1.1 200 OK~Content-Length: x~~",
                 "HTTP/1.1 200 OK~Content-Length: 1~Content-Length: 2~",
+                "HTTP/1.1 200 OK~X-Fetches: 2~X-Fetches: 1~",
+                "HTTP/1.1 200 OK~X-Fetch: 1~x-fetch: 2~",
+                "HTTP/1.1 503 Full~X-Unrun: 0~X-Unrun: 1~",
+                "HTTP/1.1 200 OK~Transfer-Encoding: gzip~Transfer-Encoding: chunked~",
                 "HTTP/1.1 200 OK~Transfer-Encoding: gzip~~",
                 "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~zz~",
                 "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1~xyz~"
--- a/src/test/java/junipercourse/engine/PageCountTest.java
+++ b/src/test/java/junipercourse/engine/PageCountTest.java
@@ -49,7 +49,8 @@
                 "X-Fetches:~",
                 "X-Fetches: two~",
                 "X-Fetches: 0~",
-                "X-Fetches: 99999999999~"
+                "X-Fetches: 99999999999~",
+                "X-Fetches: 2~X-Fetches: 1~"
             })
     void firstPageIsFetchedAgainWhenItsPageCountIsMissingOrUnreadable(String headerLines)
             throws Exception {
