Refuse known events whose kind, number, cell or engine ID is missing or unreadable

What callers would see: after a reload whose new event lost its complete flag, engines that are no longer listed would stay in use; an event number of 1e300 hides all later events of the bus. Cause: InitialEventsReader took a missing or unreadable complete for a change, cut numbers to integers, and accepted IDs such as s--1, which the bus never names again. Other keys of these events were checked already. Change: each is a ConfigException with its key. At a start it ends the program with exit code 2, at SIGHUP the old configuration stays in force, as for the other keys. Test: WatchFrameDecoderTest; 9 of its cases failed before the change and pass after it.

--- a/src/main/java/junipercourse/discovery/InitialEventsReader.java
+++ b/src/main/java/junipercourse/discovery/InitialEventsReader.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 import junipercourse.config.Config;
 import junipercourse.config.ConfigException;
 import junipercourse.core.Backend.EngineEndpoint;
@@ -17,6 +18,14 @@
     /** A full endpoint list or a change of it, with the event's number on the event bus. */
     public record Event(long offset, boolean isFullList, List<EngineEndpoint> endpoints) {}
 
+    private static final Pattern ENGINE_ID_PATTERN = Pattern.compile("s-[0-9a-fA-F]{8}");
+
+    /** The event bus sends cells as two bytes. */
+    private static final long MAX_CELL = 0xffff;
+
+    /** JSON numbers are read as doubles, which are exact up to here. */
+    private static final long MAX_OFFSET = 1L << 53;
+
     private final List<String> zones;
     private final List<String> engineKinds;
 
@@ -40,7 +49,7 @@
 
     /** Reads the number of the last event. */
     static long readLastOffset(JsonObject json) {
-        return (long) requireNumber("known", json, "offset");
+        return requireInteger("known", json, "offset", MAX_OFFSET);
     }
 
     private Event readEvent(String path, JsonObject event) {
@@ -54,9 +63,10 @@
             String memberPath = path + ".topology.members." + endpoints.size();
             endpoints.add(readEndpoint(memberPath, requireObject(memberPath, item)));
         }
-        JsonValue complete = topology.get("complete");
-        boolean isFullList = complete != null && complete.isTrue();
-        return new Event((long) requireNumber(path, event, "offset"), isFullList, endpoints);
+        return new Event(
+                requireInteger(path, event, "offset", MAX_OFFSET),
+                requireBoolean(path + ".topology", topology, "complete"),
+                endpoints);
     }
 
     private EngineEndpoint readEndpoint(String path, JsonObject member) {
@@ -71,7 +81,7 @@
                                 path + ".flavor",
                                 engineKinds,
                                 requireString(path, member, "flavor")),
-                        (int) requireNumber(path, member, "cell"),
+                        (int) requireInteger(path, member, "cell", MAX_CELL),
                         parseStage(path, requireString(path, member, "phase")),
                         requireNumber(path, member, "size"),
                         requireNumber(path, member, "up_since_ms") / 1000),
@@ -79,14 +89,10 @@
     }
 
     private static EngineId parseEngineId(String path, String text) {
-        try {
-            if (text.startsWith("s-")) {
-                return new EngineId(Long.parseLong(text.substring(2), 16));
-            }
-        } catch (NumberFormatException e) {
-            // reported below
+        if (!ENGINE_ID_PATTERN.matcher(text).matches()) {
+            throw new ConfigException(path + ".id", "not an engine ID: " + text);
         }
-        throw new ConfigException(path + ".id", "not an engine ID: " + text);
+        return new EngineId(Long.parseLong(text.substring(2), 16));
     }
 
     private static EngineStage parseStage(String path, String text) {
@@ -121,6 +127,23 @@
         return value.asString();
     }
 
+    private static boolean requireBoolean(String path, JsonObject object, String name) {
+        JsonValue value = object.get(name);
+        if (value == null || !value.isBoolean()) {
+            throw new ConfigException(path + "." + name, "neither true nor false");
+        }
+        return value.asBoolean();
+    }
+
+    private static long requireInteger(String path, JsonObject object, String name, long max) {
+        double value = requireNumber(path, object, name);
+        if (value < 0 || value > max || value != Math.rint(value)) {
+            throw new ConfigException(
+                    path + "." + name, "not an integer from 0 to " + max + ": " + object.get(name));
+        }
+        return (long) value;
+    }
+
     private static double requireNumber(String path, JsonObject object, String name) {
         JsonValue value = object.get(name);
         if (value == null || !value.isNumber()) {
--- a/src/test/java/junipercourse/discovery/WatchFrameDecoderTest.java
+++ b/src/test/java/junipercourse/discovery/WatchFrameDecoderTest.java
@@ -24,6 +24,12 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class WatchFrameDecoderTest {
+    private static final String INITIAL_EVENTS =
+            """
+            {"offset":41,"batch":[{"offset":41,"topology":{"revision":7,"complete":true,"members":[
+            {"id":"%s","host_port":"10.1.0.9:7001","locality":"east","flavor":"std","cell":2,
+            "phase":"%s","size":4,"up_since_ms":5000}]}}]}\
+            """;
     private static final String EMPTY_FRAME = "00000009" + "0000000000000029" + "00";
     private static final String DELTA_FRAME =
             "00000024"
@@ -113,19 +119,13 @@
                 "buffer capacity " + decoder.bufferCapacity());
     }
 
-    private static List<InitialEventsReader.Event> readInitialEvents(String phase, String id) {
+    private static List<InitialEventsReader.Event> readInitialEvents(String json) {
         return new InitialEventsReader(List.of("east"), List.of("std"))
-                .read(
-                        Json.parse(
-                                        """
-                                        {"offset":41,"batch":[{"offset":41,"topology":{
-                                        "revision":7,"complete":true,"members":[
-                                        {"id":"%s","host_port":"10.1.0.9:7001",
-                                        "locality":"east","flavor":"std","cell":2,
-                                        "phase":"%s","size":4,"up_since_ms":5000}]}}]}\
-                                        """
-                                                .formatted(id, phase))
-                                .asObject());
+                .read(Json.parse(json).asObject());
+    }
+
+    private static List<InitialEventsReader.Event> readInitialEvents(String phase, String id) {
+        return readInitialEvents(INITIAL_EVENTS.formatted(id, phase));
     }
 
     @Test
@@ -136,9 +136,42 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"Running,s-00c41f7a,phase", "Ready,00c41f7a,id", "Ready,s-x,id"})
+    @CsvSource({
+        "Running,s-00c41f7a,phase",
+        "Ready,00c41f7a,id",
+        "Ready,s-x,id",
+        "Ready,s--1,id",
+        "Ready,s-+0c41f7a,id"
+    })
     void messageStartsWithTheKeyWhenAnInitialEventIsInvalid(String phase, String id, String key) {
         ConfigException e = assertThrows(ConfigException.class, () -> readInitialEvents(phase, id));
         assertEquals("known.batch.0.topology.members.0." + key, e.getMessage().split(": ")[0]);
     }
+
+    /**
+     * Guards against reading a complete list as a change, which would keep engines that are not on
+     * it, and against an event number that hides all later events.
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "known.batch.0.topology.complete | \"complete\":true | \"complex\":true",
+                "known.batch.0.topology.complete | \"complete\":true | \"complete\":\"yes\"",
+                "known.batch.0.topology.complete | \"complete\":true | \"complete\":null",
+                "known.batch.0.offset | [{\"offset\":41 | [{\"offset\":1e300",
+                "known.batch.0.offset | [{\"offset\":41 | [{\"offset\":-1",
+                "known.batch.0.offset | [{\"offset\":41 | [{\"offset\":41.5",
+                "known.batch.0.topology.members.0.cell | \"cell\":2 | \"cell\":2.5"
+            })
+    void messageStartsWithTheKeyWhenAnInitialEventIsUnreadable(
+            String key, String original, String replacement) {
+        assertTrue(INITIAL_EVENTS.contains(original));
+        String text = INITIAL_EVENTS.replace(original, replacement);
+        ConfigException e =
+                assertThrows(
+                        ConfigException.class,
+                        () -> readInitialEvents(text.formatted("s-00c41f7a", "Ready")));
+        assertEquals(key, e.getMessage().split(": ")[0]);
+    }
 }
