Refuse a query of an ordered class without its key

What callers would see: a query of a class in order whose subject was lost was accepted and ran beside others of its key. Cause: QueryFieldParser took a missing subject for key 0, which means no key, in every class. The protocol states the key in classes that keep order, as it states opkey in keyed classes, which was required already. Change: a missing subject, and key 0, are errors 22023 that name the field in ordered classes; elsewhere the field stays optional. Test: QueryFieldParserTest; 2 cases failed before the change and pass after it.

--- a/src/main/java/junipercourse/pg/QueryFieldParser.java
+++ b/src/main/java/junipercourse/pg/QueryFieldParser.java
@@ -17,6 +17,7 @@
     /** Keeps the statement's bytes in any encoding. Everything that is parsed here is ASCII. */
     private static final Charset BYTE_PRESERVING = StandardCharsets.ISO_8859_1;
 
+    private static final long NO_ORDER_KEY = 0;
     private static final double TIMEOUT_ROUNDING_FACTOR = 1.02; // clients round their timeouts
     private static final double MAX_WORK_DEADLINES =
             100; // deadlines of work; more is not a plausible estimate
@@ -109,7 +110,6 @@
         if (idempotencyKey != null && !idempotencyKey.matches("[0-9A-Za-z_.-]{1,128}")) {
             throw new InvalidQueryFieldException("opkey", "not a key: " + quote(idempotencyKey));
         }
-        String orderKeyText = fields.get("subject");
         String workText = fields.get("ms");
         String memoryText = fields.get("ram");
         String resent = fields.getOrDefault("resent", "0");
@@ -135,7 +135,7 @@
                 tenantIndex(fields),
                 arrival.clientWaitStart() + timeoutMillis / 1000,
                 idempotencyKey,
-                orderKeyText == null ? 0 : parseHex("subject", orderKeyText, 16),
+                parseOrderKey(fields, queryClass),
                 TableGroupExtractor.extractGroup(statement),
                 workMillis / 1000,
                 memoryMb,
@@ -152,6 +152,18 @@
         }
     }
 
+    /** Without its key, a query of an ordered class would run beside others of the same key. */
+    private static long parseOrderKey(Map<String, String> fields, QueryClass queryClass)
+            throws InvalidQueryFieldException {
+        String text =
+                queryClass.orderedByKey() ? requireField(fields, "subject") : fields.get("subject");
+        long key = text == null ? NO_ORDER_KEY : parseHex("subject", text, 16);
+        if (queryClass.orderedByKey() && key == NO_ORDER_KEY) {
+            throw new InvalidQueryFieldException("subject", "not a key: " + quote(text));
+        }
+        return key;
+    }
+
     private int tenantIndex(Map<String, String> fields) throws InvalidQueryFieldException {
         if (tenantIndexes.isEmpty()) {
             return -1;
--- a/src/test/java/junipercourse/pg/QueryFieldParserTest.java
+++ b/src/test/java/junipercourse/pg/QueryFieldParserTest.java
@@ -69,6 +69,10 @@
                 "opkey | /* kind=load,req=9b1f03aa5c7e2d41,timeout=5,owner=acme */ SELECT 1",
                 "subject | /* kind=check,req=9b1f03aa5c7e2d41,timeout=5,owner=acme,subject=q */"
                         + " SELECT 1",
+                "subject | /* kind=load,req=9b1f03aa5c7e2d41,timeout=5,owner=acme,opkey=5c0f */"
+                        + " SELECT 1",
+                "subject | /* kind=load,req=9b1f03aa5c7e2d41,timeout=5,owner=acme,opkey=5c0f,"
+                        + "subject=0000000000000000 */ SELECT 1",
                 "resent | /* kind=check,req=9b1f03aa5c7e2d41,timeout=5,owner=acme,resent=yes */"
                         + " SELECT 1",
                 "ms | /* kind=check,req=9b1f03aa5c7e2d41,timeout=5,owner=acme,ms=NaN */ SELECT 1",
