Keep the own descriptor claim while a sibling's claim is unreadable

What operators would see: two processes of a dispatcher that together go over the limit of descriptors during a replacement. Cause: SiblingProcesses counted a running process whose claim file is cut or negative as one without descriptors. An empty file still counts as no claim yet.

--- a/src/main/java/junipercourse/admin/SiblingProcesses.java
+++ b/src/main/java/junipercourse/admin/SiblingProcesses.java
@@ -102,13 +102,27 @@
             if (acquiredLock != null) { // no process holds the lock: the owner has ended
                 return sum;
             }
-            ByteBuffer claim = ByteBuffer.allocate(Integer.BYTES);
-            int bytesRead = file.read(claim, 0);
-            return Math.max(0, sum)
-                    + (bytesRead == Integer.BYTES ? Math.max(0, claim.getInt(0)) : 0);
+            return Math.max(0, sum) + readClaim(file, claimNumber);
         }
     }
 
+    /**
+     * Reads the claim of a running process; 0 if it has not claimed anything yet.
+     *
+     * @throws IOException if the claim is unreadable: the process may claim any number then
+     */
+    private int readClaim(FileChannel file, int claimNumber) throws IOException {
+        ByteBuffer bytes = ByteBuffer.allocate(Integer.BYTES + 1); // one more, to see a longer file
+        int bytesRead = file.read(bytes, 0);
+        if (bytesRead < 0) {
+            return 0;
+        }
+        if (bytesRead != Integer.BYTES || bytes.getInt(0) < 0) {
+            throw new IOException(folder.resolve(fileName(claimNumber)) + ": unreadable claim");
+        }
+        return bytes.getInt(0);
+    }
+
     @Override
     public void close() {
         try {
