--- a/src/test/java/junipercourse/ArchitectureTest.java
+++ b/src/test/java/junipercourse/ArchitectureTest.java
@@ -45,7 +45,6 @@
                     Map.entry("EndpointWatcher.java", 257),
                     Map.entry("DispatcherServer.java", 307),
                     Map.entry("Session.java", 257),
-                    Map.entry("SettingsReader.java", 284),
                     Map.entry("SimHost.java", 273));
 
     /**
