Refuse unreadable settings that were taken for false, push or a truncated number

What operators would see: a class whose loads entry reads ture is treated as one that locks no tables, and registry_mode pull as push; NaN and Infinity were accepted as numbers. Cause: SettingsReader used Boolean.parseBoolean for list items, compared registry_mode with one of its two values, and cut class_threads and indexes to integers; all other keys were checked. Change: each is a ConfigException with its key. Keys that are absent keep their defaults. Test: ConfigTest; 6 cases failed before the change and pass after it.

--- a/src/main/java/junipercourse/config/SettingsReader.java
+++ b/src/main/java/junipercourse/config/SettingsReader.java
@@ -31,6 +31,9 @@
                     "cut", OutOfMemoryPolicy.SHRINK_GRANT,
                     "overcommit", OutOfMemoryPolicy.OVERCOMMIT);
 
+    private static final Map<String, Boolean> IS_POLLED_BY_NAME =
+            Map.of("push", false, "ask", true);
+
     private final SettingsValues values;
 
     private SettingsReader(SettingsValues values) {
@@ -65,7 +68,7 @@
                 values.getInteger("balancers", 1, 1),
                 values.getInteger("ordinal", 0, 0),
                 values.getInteger("my_zone", 0, 0),
-                values.getString("registry_mode", "push").equals("ask"),
+                values.getChoice("registry_mode", IS_POLLED_BY_NAME, "push"),
                 values.getChoice("weights", CapacityRating.class, "off"),
                 values.getNumber("over_share_worth", 1),
                 values.getChoice("telemetry.via", LoadReportChannel.class, "off"),
@@ -99,12 +102,15 @@
                             values.getNumber(prefix + "worth", 1),
                             values.getNumber(prefix + "late_worth", 0),
                             i < threads.size()
-                                    ? (int)
-                                            SettingsValues.parse(
-                                                    "family_info.class_threads", threads.get(i))
+                                    ? SettingsValues.parseInteger(
+                                            "family_info.class_threads", 1, threads.get(i))
                                     : 1,
-                            i < loads.size() && Boolean.parseBoolean(loads.get(i)),
-                            i < classWaits.size() && Boolean.parseBoolean(classWaits.get(i)),
+                            i < loads.size()
+                                    && SettingsValues.parseBoolean(
+                                            "family_info.loads", loads.get(i)),
+                            i < classWaits.size()
+                                    && SettingsValues.parseBoolean(
+                                            "family_info.class_waits", classWaits.get(i)),
                             values.getIndexes(prefix + "dcs_allowed"),
                             values.getIndexes(prefix + "runs_on")));
         }
--- a/src/main/java/junipercourse/config/SettingsValues.java
+++ b/src/main/java/junipercourse/config/SettingsValues.java
@@ -19,7 +19,7 @@
     Set<Integer> getIndexes(String key) {
         Set<Integer> indexes = new TreeSet<>();
         for (String item : getList(key)) {
-            indexes.add((int) parse(key, item));
+            indexes.add(parseInteger(key, 0, item));
         }
         if (indexes.isEmpty() && valuesByPath.containsKey(key)) {
             throw new ConfigException("settings." + key, "empty; at least one index is required");
@@ -39,9 +39,11 @@
 
     boolean getBoolean(String key, boolean fallback) {
         String value = valuesByPath.get(key);
-        if (value == null) {
-            return fallback;
-        }
+        return value == null ? fallback : parseBoolean(key, value);
+    }
+
+    /** Parses a value of a key, such as one item of a list. */
+    static boolean parseBoolean(String key, String value) {
         if (!value.equals("true") && !value.equals("false")) {
             throw new ConfigException("settings." + key, "not true or false: " + value);
         }
@@ -50,13 +52,8 @@
 
     /** An integer of at least {@code minimum}; the fallback if the key is absent. */
     int getInteger(String key, int minimum, int fallback) {
-        double value = getNumber(key, fallback);
-        if (value != Math.rint(value) || value < minimum || value > Integer.MAX_VALUE) {
-            throw new ConfigException(
-                    "settings." + key,
-                    "not an integer of at least " + minimum + ": " + valuesByPath.get(key));
-        }
-        return (int) value;
+        String value = valuesByPath.get(key);
+        return value == null ? fallback : parseInteger(key, minimum, value);
     }
 
     double getNumber(String key, double fallback) {
@@ -76,10 +73,24 @@
     /** Parses a value of a key, such as one item of a list. */
     static double parse(String key, String value) {
         try {
-            return Double.parseDouble(value);
+            double number = Double.parseDouble(value);
+            if (Double.isFinite(number)) {
+                return number;
+            }
         } catch (NumberFormatException e) {
-            throw new ConfigException("settings." + key, "not a number: " + value);
+            // reported below
+        }
+        throw new ConfigException("settings." + key, "not a number: " + value);
+    }
+
+    /** Parses an integer of a key, such as one item of a list. */
+    static int parseInteger(String key, int minimum, String value) {
+        double number = parse(key, value);
+        if (number != Math.rint(number) || number < minimum || number > Integer.MAX_VALUE) {
+            throw new ConfigException(
+                    "settings." + key, "not an integer of at least " + minimum + ": " + value);
         }
+        return (int) number;
     }
 
     /** A constant of an enum, named in any case; a null fallback makes the key mandatory. */
--- a/src/test/java/junipercourse/config/ConfigTest.java
+++ b/src/test/java/junipercourse/config/ConfigTest.java
@@ -66,7 +66,14 @@
                 "settings.balancers | \"balancers\":1 | \"balancers\":1e12",
                 "settings.limits.cancel | \"cancel\":true | \"cancel\":7",
                 "settings.limits.conn_idle_s | 30.0 | \"x\"",
-                "settings.telemetry.fields | \"busy\" | \"mood\""
+                "settings.telemetry.fields | \"busy\" | \"mood\"",
+                "settings.registry_mode | \"balancers\":1 | \"registry_mode\":\"pull\"",
+                "settings.family_info.loads | \"says_cost\" | \"loads\":[false,\"ture\"],\"x\"",
+                "settings.family_info.class_waits | \"says_cost\" | \"class_waits\":[1],\"x\"",
+                "settings.family_info.class_threads | [1,2] | [1,2.5]",
+                "settings.grades.1.deadline_s | 20.0 | \"Infinity\"",
+                "settings.guarantees.drain_grace_s | \"drain_grace_s\":1.0 |"
+                        + " \"drain_grace_s\":\"NaN\""
             })
     void messageStartsWithTheKeyWhenAValueIsInvalid(
             String key, String original, String replacement) {
