Stop claiming descriptors before the process exits, so that no exit holds the lock

Cause: the thread that claims descriptors went on while its process exited; an exit in the middle of a claim kept the file lock until the system had removed the process, and a sibling waits 200 ms for it. Change: the shutdown waits for a claim that is being made and allows no other; the last claim stands until the process is gone. Test: SiblingProcessesTest.claimsAreEndedAndTheirLockIsFreeWhenClaimsAreStopped fails if the stop does not wait.

--- a/src/main/java/junipercourse/admin/SiblingProcesses.java
+++ b/src/main/java/junipercourse/admin/SiblingProcesses.java
@@ -28,6 +28,16 @@
     private final FileChannel processFile;
     private final FileLock processLock;
     private final int processNumber;
+    private boolean isStopped;
+
+    /** Reports a claim after {@link #stopClaims}: nothing was read or written. */
+    public static final class ClaimsStoppedException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        ClaimsStoppedException() {
+            super("no claim is made while the process exits");
+        }
+    }
 
     /**
      * @throws IOException if the folder cannot be used or all numbers are in use
@@ -67,9 +77,13 @@
      * @param computeClaim computes the claim from the sum of the other processes' claims, or from
      *     -1 if there is no other process
      * @return the sum of the other processes' claims; -1 if there is no other process
+     * @throws ClaimsStoppedException after {@link #stopClaims}
      * @throws IOException if the files cannot be used; the claim has not changed then
      */
-    public int claim(IntUnaryOperator computeClaim) throws IOException {
+    public synchronized int claim(IntUnaryOperator computeClaim) throws IOException {
+        if (isStopped) {
+            throw new ClaimsStoppedException();
+        }
         try (FileChannel lockFile = open("turn");
                 FileLock claimLock = acquireLock(lockFile)) {
             int othersClaim = -1;
@@ -84,6 +98,15 @@
         }
     }
 
+    /**
+     * Ends all claims: waits for a running one, and allows no other. A process that exits while it
+     * holds the lock for claims would keep it until the system has removed the process, and its
+     * siblings would wait for that long. The last claim stands until the process has ended.
+     */
+    public synchronized void stopClaims() {
+        isStopped = true;
+    }
+
     /** Waits a limited time for the lock: its holder may have been suspended while holding it. */
     private static FileLock acquireLock(FileChannel file) throws IOException {
         for (int i = 0; i < LOCK_ATTEMPTS; i++) {
--- a/src/main/java/junipercourse/cli/DispatcherServer.java
+++ b/src/main/java/junipercourse/cli/DispatcherServer.java
@@ -1,9 +1,7 @@
 package junipercourse.cli;
 
 import java.io.IOException;
-import java.net.BindException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -201,7 +199,8 @@
             }
             started.complete(null);
         } catch (IOException e) {
-            if (waitedSeconds < LISTEN_TIMEOUT_SECONDS && isPortInUse(config.listenAddress(), e)) {
+            if (waitedSeconds < LISTEN_TIMEOUT_SECONDS
+                    && PortProbe.isPortInUse(config.listenAddress(), e)) {
                 if (waitedSeconds < LISTEN_RETRY_SECONDS) {
                     Logger.warn(
                             "{} is in use; retrying for up to {} s",
@@ -233,18 +232,6 @@
         }
     }
 
-    /** Whether the port is in use; on an address of another machine, no port can be bound. */
-    private static boolean isPortInUse(InetSocketAddress address, IOException failure) {
-        if (!(failure instanceof BindException)) {
-            return false;
-        }
-        try (ServerSocket probeSocket = new ServerSocket(0, 1, address.getAddress())) {
-            return probeSocket.isBound();
-        } catch (IOException e) {
-            return false;
-        }
-    }
-
     /** On SIGHUP, which would otherwise end the JVM, reloads the configuration file. */
     void reloadOnSighup(Map<String, String> environment) {
         new ConfigReloader(loop, endpointWatcher, counters, config, environment).installHandler();
@@ -261,6 +248,9 @@
                                 admin.onShutdown();
                             }
                             shutdown.run();
+                            if (handover != null) {
+                                handover.stopPolling();
+                            }
                             if (component != null) {
                                 component.shutDown();
                             }
--- a/src/main/java/junipercourse/cli/HandoverCoordinator.java
+++ b/src/main/java/junipercourse/cli/HandoverCoordinator.java
@@ -121,6 +121,8 @@
                                 return claim[0];
                             });
             loop.execute(() -> applyClaim(claim[0], siblingDescriptors >= 0));
+        } catch (SiblingProcesses.ClaimsStoppedException e) {
+            Logger.debug("the last poll of sibling processes is left out: {}", e.getMessage());
         } catch (IOException | RuntimeException e) { // the limits stay as they are
             Logger.error(
                     "cannot tell whether another process of this dispatcher runs: {}",
@@ -143,9 +145,18 @@
         allowedDescriptors = descriptors.allowed();
     }
 
+    /**
+     * Ends the polling before the process exits. The claim stands until it has ended, since its
+     * descriptors are in use until then.
+     */
+    void stopPolling() {
+        scheduler.shutdown(); // an interrupt would close the claim file and so release its lock
+        siblings.stopClaims();
+    }
+
     @Override
     public void close() {
-        scheduler.shutdownNow();
+        stopPolling();
         siblings.close();
     }
 }
--- a/src/test/java/junipercourse/ArchitectureTest.java
+++ b/src/test/java/junipercourse/ArchitectureTest.java
@@ -43,7 +43,7 @@
                     Map.entry("EngineAttempt.java", 261),
                     Map.entry("EventLoop.java", 261),
                     Map.entry("EndpointWatcher.java", 257),
-                    Map.entry("DispatcherServer.java", 307),
+                    Map.entry("DispatcherServer.java", 296),
                     Map.entry("Session.java", 257),
                     Map.entry("SimHost.java", 273));
 
--- a/src/test/java/junipercourse/admin/SiblingProcessesTest.java
+++ b/src/test/java/junipercourse/admin/SiblingProcessesTest.java
@@ -2,11 +2,21 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.HexFormat;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -81,6 +91,56 @@
         }
     }
 
+    /**
+     * Guards against a process that exits while it holds the lock for claims, which its siblings
+     * then wait for until the process is gone.
+     */
+    @Test
+    void claimsAreEndedAndTheirLockIsFreeWhenClaimsAreStopped() throws Exception {
+        try (SiblingProcesses processes = new SiblingProcesses(folder)) {
+            CountDownLatch isClaiming = new CountDownLatch(1);
+            CountDownLatch mayFinish = new CountDownLatch(1);
+            ExecutorService executor = Executors.newFixedThreadPool(2);
+            try {
+                Future<Integer> claim =
+                        executor.submit(
+                                () ->
+                                        processes.claim(
+                                                others -> {
+                                                    isClaiming.countDown();
+                                                    awaitLatch(mayFinish);
+                                                    return OWN_CLAIM;
+                                                }));
+                isClaiming.await();
+                Future<?> stop = executor.submit(processes::stopClaims);
+                assertThrows(
+                        TimeoutException.class,
+                        () -> stop.get(100, TimeUnit.MILLISECONDS),
+                        "stopped while the lock was held");
+                mayFinish.countDown();
+                claim.get(5, TimeUnit.SECONDS);
+                stop.get(5, TimeUnit.SECONDS);
+            } finally {
+                mayFinish.countDown();
+                executor.shutdownNow();
+            }
+            assertThrows(IOException.class, () -> processes.claim(others -> 0));
+            try (FileChannel turn =
+                            FileChannel.open(folder.resolve("turn"), StandardOpenOption.WRITE);
+                    FileLock lock = turn.tryLock()) {
+                assertTrue(lock.isValid(), "the lock for claims is free");
+            }
+        }
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static String hexOf(Path file) throws IOException {
         return HexFormat.of().formatHex(Files.readAllBytes(file));
     }
