--- a/src/test/java/junipercourse/fleet/membership/DatagramSize.java
+++ b/src/test/java/junipercourse/fleet/membership/DatagramSize.java
@@ -3,63 +3,63 @@
 import com.google.protobuf.CodedOutputStream;
 
 /**
- * What a word takes on the wire: the headers of IP and UDP, the checksum, and its fields in
- * protobuf's form, as {@code fleet.link} writes them. Counted apart from the view's own bounds, so
- * that a play measures and does not repeat them.
+ * The size of a message on the wire: headers of IP and UDP, checksum, and its fields in protobuf's
+ * encoding, as {@code fleet.transport} writes them. Computed independently of the protocol's own
+ * limits, so that tests measure these instead of repeating them.
  */
 final class DatagramSize {
     /** IPv4 and UDP headers, CRC32C. */
-    private static final int OVER = 20 + 8 + 4;
+    private static final int HEADER_BYTES = 20 + 8 + 4;
 
     /** The fleet's name and the two version numbers. */
-    private static final int FLEET = 2 + "hobart".length() + 2 + 2;
+    private static final int FLEET_AND_VERSION_BYTES = 2 + "hobart".length() + 2 + 2;
 
     private DatagramSize() {}
 
-    static int of(GossipMessage word) {
+    static int of(GossipMessage message) {
         int size =
-                OVER
-                        + FLEET
+                HEADER_BYTES
+                        + FLEET_AND_VERSION_BYTES
                         + 1
-                        + CodedOutputStream.computeStringSizeNoTag(word.sender())
+                        + CodedOutputStream.computeStringSizeNoTag(message.sender())
                         + 1
-                        + varint(word.senderIncarnation())
+                        + varintBytes(message.senderIncarnation())
                         + 2
                         + 1
-                        + varint(word.sequence())
+                        + varintBytes(message.sequence())
                         + 1
-                        + CodedOutputStream.computeStringSizeNoTag(word.subject())
+                        + CodedOutputStream.computeStringSizeNoTag(message.subject())
                         + 9
                         + 1
-                        + varint(word.page())
+                        + varintBytes(message.page())
                         + 1
-                        + varint(word.pageCount());
-        if (!word.bucketDigests().isEmpty()) {
-            int packed = Integer.BYTES * word.bucketDigests().size();
-            size += 1 + varint(packed) + packed;
+                        + varintBytes(message.pageCount());
+        if (!message.bucketDigests().isEmpty()) {
+            int bucketBytes = Integer.BYTES * message.bucketDigests().size();
+            size += 1 + varintBytes(bucketBytes) + bucketBytes;
         }
-        for (MemberRecord statement : word.records()) {
-            int inner = of(statement);
-            size += 1 + varint(inner) + inner;
+        for (MemberRecord memberRecord : message.records()) {
+            int recordBytes = of(memberRecord);
+            size += 1 + varintBytes(recordBytes) + recordBytes;
         }
         return size;
     }
 
-    private static int of(MemberRecord statement) {
+    private static int of(MemberRecord memberRecord) {
         return 1
-                + CodedOutputStream.computeStringSizeNoTag(statement.name())
+                + CodedOutputStream.computeStringSizeNoTag(memberRecord.name())
                 + 1
-                + varint(statement.incarnation())
+                + varintBytes(memberRecord.incarnation())
                 + 1
-                + varint(statement.version())
+                + varintBytes(memberRecord.version())
                 + 2
                 + 1
-                + CodedOutputStream.computeStringSizeNoTag(statement.address())
+                + CodedOutputStream.computeStringSizeNoTag(memberRecord.address())
                 + 1
-                + CodedOutputStream.computeStringSizeNoTag(statement.zone());
+                + CodedOutputStream.computeStringSizeNoTag(memberRecord.zone());
     }
 
-    private static int varint(long number) {
+    private static int varintBytes(long number) {
         return CodedOutputStream.computeUInt64SizeNoTag(number);
     }
 }
--- a/src/test/java/junipercourse/fleet/membership/FaultSchedule.java
+++ b/src/test/java/junipercourse/fleet/membership/FaultSchedule.java
@@ -5,62 +5,63 @@
 import java.util.SplittableRandom;
 
 /**
- * One seeded schedule of faults: kills with amnesia, restarts, pauses, one-way cuts, partitions,
- * farewells, loss, doubling and delay for 15 s; then all heals, and the views must settle on who
- * runs within {@link #BOUND_S}.
+ * One seeded schedule of faults: kills with loss of state, restarts, pauses, one-way and two-way
+ * partitions, leaves, message loss, duplication and delay for 15 s. Then all faults end, and all
+ * members must agree on who runs within {@link #MAX_CONVERGENCE_SECONDS}.
  */
 final class FaultSchedule {
     /**
-     * From the end of all faults until all views agree: who was lonely waits up to 10 s with its
-     * verdicts.
+     * From the end of all faults until all members agree: one that was isolated delays its verdicts
+     * by up to 10 s.
      */
-    static final double BOUND_S = 15;
+    static final double MAX_CONVERGENCE_SECONDS = 15;
 
-    /** Most words a second that a member may send on average, whatever happens. */
-    private static final double WORDS_MOST = 200;
+    /** Limit of the messages that a member sends on average. */
+    private static final double MAX_MESSAGES_PER_SECOND = 200;
 
-    final SimulatedNetwork world;
-    final double settled;
+    final SimulatedNetwork network;
+    final double convergenceSeconds;
     private final SplittableRandom random;
 
     private FaultSchedule(long seed, InjectedFault faults) {
-        world = new SimulatedNetwork(seed);
-        world.faults = faults;
-        random = world.random.split();
+        network = new SimulatedNetwork(seed);
+        network.faults = faults;
+        random = network.random.split();
         int count = 3 + random.nextInt(5);
         int seeds = 1 + random.nextInt(3);
-        world.fleet(count, seeds);
+        network.addFleet(count, seeds);
         boolean atOnce = random.nextBoolean();
-        for (SimulatedNetwork.Process process : world.processes) {
-            world.at(atOnce ? 0 : random.nextDouble() * 3, process::start);
+        for (SimulatedNetwork.Process process : network.processes) {
+            network.scheduleAt(atOnce ? 0 : random.nextDouble() * 3, process::start);
         }
-        world.loss = random.nextInt(3) * 0.1;
-        world.doubled = random.nextInt(2) * 0.1;
-        world.delayMost = random.nextInt(4) == 0 ? 0.05 : 0.004;
-        world.run(3);
-        while (world.now < 18) {
-            fault(world.processes.get(random.nextInt(count)));
-            world.run(random.nextDouble() * 2);
+        network.lossRate = random.nextInt(3) * 0.1;
+        network.duplicationRate = random.nextInt(2) * 0.1;
+        network.maxDelaySeconds = random.nextInt(4) == 0 ? 0.05 : 0.004;
+        network.run(3);
+        while (network.now < 18) {
+            injectFault(network.processes.get(random.nextInt(count)));
+            network.run(random.nextDouble() * 2);
         }
-        world.heal();
-        world.loss = 0;
-        world.run(1.5); // the last pauses and farewells end
-        if (world.processes.subList(0, seeds).stream().noneMatch(SimulatedNetwork.Process::runs)) {
-            // who was born in a cut and whose seeds are all gone is known to nobody
-            world.processes.get(0).start();
+        network.heal();
+        network.lossRate = 0;
+        network.run(1.5); // the last pauses and leaves end
+        if (network.processes.subList(0, seeds).stream()
+                .noneMatch(SimulatedNetwork.Process::isRunning)) {
+            // a process that started in a partition and whose seeds are all gone is known to nobody
+            network.processes.get(0).start();
         }
-        settled = world.untilSettled(BOUND_S);
+        convergenceSeconds = network.secondsUntilConverged(MAX_CONVERGENCE_SECONDS);
     }
 
-    private void fault(SimulatedNetwork.Process process) {
+    private void injectFault(SimulatedNetwork.Process process) {
         switch (random.nextInt(9)) {
             case 0, 1 -> {
-                if (process.runs()) {
+                if (process.isRunning()) {
                     process.kill();
                 }
             }
             case 2, 3, 4 -> {
-                if (!process.runs()) {
+                if (!process.isRunning()) {
                     process.start();
                 } else if (random.nextInt(3) == 0) {
                     process.kill();
@@ -68,63 +69,82 @@
                 }
             }
             case 5 -> {
-                if (process.runs()) {
+                if (process.isRunning()) {
                     process.pause(random.nextDouble() * (random.nextInt(4) == 0 ? 1 : 0.3) * 5);
                 }
             }
             case 6 ->
-                    world.cut(process, world.processes.get(random.nextInt(world.processes.size())));
+                    network.block(
+                            process,
+                            network.processes.get(random.nextInt(network.processes.size())));
             case 7 -> {
-                boolean[] side = new boolean[world.processes.size()];
-                for (int i = 0; i < side.length; i++) {
-                    side[i] = random.nextBoolean();
+                boolean[] isOnFirstSide = new boolean[network.processes.size()];
+                for (int i = 0; i < isOnFirstSide.length; i++) {
+                    isOnFirstSide[i] = random.nextBoolean();
                 }
-                for (int a = 0; a < side.length; a++) {
-                    for (int b = 0; b < side.length; b++) {
-                        if (side[a] != side[b]) {
-                            world.cut(world.processes.get(a), world.processes.get(b));
+                for (int a = 0; a < isOnFirstSide.length; a++) {
+                    for (int b = 0; b < isOnFirstSide.length; b++) {
+                        if (isOnFirstSide[a] != isOnFirstSide[b]) {
+                            network.block(network.processes.get(a), network.processes.get(b));
                         }
                     }
                 }
             }
             default -> {
                 if (random.nextInt(3) == 0
-                        && process.runs()
-                        && !process.paused()
-                        && world.judge.life(process) != null) {
+                        && process.isRunning()
+                        && !process.isPaused()
+                        && network.invariants.currentIncarnation(process) != null) {
                     process.leave();
                 } else {
-                    world.heal();
+                    network.heal();
                 }
             }
         }
     }
 
-    /** Plays the schedule of a seed. */
-    static FaultSchedule play(long seed, InjectedFault faults) {
+    /** Runs the schedule of a seed. */
+    static FaultSchedule run(long seed, InjectedFault faults) {
         return new FaultSchedule(seed, faults);
     }
 
-    /** What the judges found, with the seed that replays it; empty if nothing. */
-    static List<String> faultsOf(long seed, InjectedFault faults) {
-        List<String> found = new ArrayList<>();
-        FaultSchedule schedule = play(seed, faults);
-        if (!schedule.world.judge.broken.isEmpty()) {
-            found.add("seed " + seed + ": " + schedule.world.judge.broken.get(0));
+    /** The violations found, each with the seed that reproduces it. */
+    static List<String> findViolations(long seed, InjectedFault faults) {
+        List<String> violations = new ArrayList<>();
+        FaultSchedule schedule = run(seed, faults);
+        if (!schedule.network.invariants.violations.isEmpty()) {
+            violations.add("seed " + seed + ": " + schedule.network.invariants.violations.get(0));
         }
-        if (!schedule.world.judge.falseUnreachable.isEmpty()) {
-            found.add("seed " + seed + ": " + schedule.world.judge.falseUnreachable.get(0));
+        if (!schedule.network.invariants.falseUnreachableReports.isEmpty()) {
+            violations.add(
+                    "seed "
+                            + seed
+                            + ": "
+                            + schedule.network.invariants.falseUnreachableReports.get(0));
         }
-        if (Double.isNaN(schedule.settled)) {
-            found.add("seed " + seed + ": not settled " + schedule.world);
+        if (Double.isNaN(schedule.convergenceSeconds)) {
+            violations.add("seed " + seed + ": not converged " + schedule.network);
         }
-        if (schedule.world.largest > GossipMessage.MAX_RECORD_BYTES + 160) {
-            found.add("seed " + seed + ": a word of " + schedule.world.largest + " bytes");
+        if (schedule.network.largestMessageBytes > GossipMessage.MAX_RECORD_BYTES + 160) {
+            violations.add(
+                    "seed "
+                            + seed
+                            + ": a message of "
+                            + schedule.network.largestMessageBytes
+                            + " bytes");
         }
-        double each = schedule.world.words / schedule.world.now / schedule.world.processes.size();
-        if (each > WORDS_MOST) {
-            found.add("seed " + seed + ": " + each + " words a second from each");
+        double messagesPerSecond =
+                schedule.network.messagesSent
+                        / schedule.network.now
+                        / schedule.network.processes.size();
+        if (messagesPerSecond > MAX_MESSAGES_PER_SECOND) {
+            violations.add(
+                    "seed "
+                            + seed
+                            + ": "
+                            + messagesPerSecond
+                            + " messages a second from each member");
         }
-        return found;
+        return violations;
     }
 }
--- a/src/test/java/junipercourse/fleet/membership/FaultScheduleTest.java
+++ b/src/test/java/junipercourse/fleet/membership/FaultScheduleTest.java
@@ -9,48 +9,47 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Seeded schedules against the judges, and the judges against code that is broken on purpose. */
+/** Seeded schedules of faults, and the checks themselves against deliberately broken code. */
 class FaultScheduleTest {
     /**
-     * Schedules to play; a long run is {@code mvn test -Dtest=FaultScheduleTest
-     * -Dschedules=100000}.
+     * Schedules to run; a long run is {@code mvn test -Dtest=FaultScheduleTest -Dschedules=100000}.
      */
     private static final long SCHEDULES = Long.getLong("schedules", 10_000);
 
-    private static final long FIRST = Long.getLong("schedules.first", 1);
+    private static final long FIRST_SEED = Long.getLong("schedules.first", 1);
 
     @Test
-    void noScheduleOfFaultsBreaksAView() {
-        long from = System.nanoTime();
-        List<String> found =
-                LongStream.range(FIRST, FIRST + SCHEDULES)
+    void noScheduleOfFaultsViolatesAnInvariant() {
+        long startNanos = System.nanoTime();
+        List<String> violations =
+                LongStream.range(FIRST_SEED, FIRST_SEED + SCHEDULES)
                         .parallel()
-                        .mapToObj(seed -> FaultSchedule.faultsOf(seed, InjectedFault.NONE))
+                        .mapToObj(seed -> FaultSchedule.findViolations(seed, InjectedFault.NONE))
                         .flatMap(List::stream)
                         .toList();
-        double seconds = (System.nanoTime() - from) / 1e9;
+        double seconds = (System.nanoTime() - startNanos) / 1e9;
         System.out.printf(
-                "%d schedules, %.0f a minute, %d faults%n",
-                SCHEDULES, SCHEDULES * 60 / seconds, found.size());
-        assertEquals(List.of(), found.subList(0, Math.min(5, found.size())));
+                "%d schedules, %.0f a minute, %d violations%n",
+                SCHEDULES, SCHEDULES * 60 / seconds, violations.size());
+        assertEquals(List.of(), violations.subList(0, Math.min(5, violations.size())));
     }
 
-    /** Each fault put in on purpose is found by a judge within a few schedules. */
+    /** Each injected fault of the code is detected within a few schedules. */
     @ParameterizedTest
     @EnumSource(
             mode = EnumSource.Mode.EXCLUDE,
             names = {"NONE", "LOCAL_STALL_IGNORED"})
-    void theJudgesFindCodeBrokenOnPurpose(InjectedFault fault) {
-        boolean clean =
+    void invariantsDetectEachInjectedFault(InjectedFault fault) {
+        boolean undetected =
                 LongStream.range(1, 30)
                         .parallel()
                         .allMatch(
                                 seed ->
-                                        FaultSchedule.play(seed, fault)
-                                                .world
-                                                .judge
-                                                .broken
+                                        FaultSchedule.run(seed, fault)
+                                                .network
+                                                .invariants
+                                                .violations
                                                 .isEmpty());
-        assertFalse(clean, fault + " was not found");
+        assertFalse(undetected, fault + " was not detected");
     }
 }
--- a/src/test/java/junipercourse/fleet/membership/FleetFigures.java
+++ b/src/test/java/junipercourse/fleet/membership/FleetFigures.java
@@ -16,86 +16,88 @@
                 args.length == 0 ? List.of("kill", "heal", "false", "load") : Arrays.asList(args);
         if (which.contains("kill")) {
             for (int count : new int[] {3, 10, 100}) {
-                print("kill seen by all", count, 0, kill(count, 0, 20));
-                print("kill seen by all", count, 0.2, kill(count, 0.2, 20));
+                print("kill seen by all", count, 0, measureKillDetection(count, 0, 20));
+                print("kill seen by all", count, 0.2, measureKillDetection(count, 0.2, 20));
             }
         }
         if (which.contains("heal")) {
             for (int count : new int[] {3, 10, 100}) {
-                heal(count, 0);
-                heal(count, 0.2);
+                measureHealing(count, 0);
+                measureHealing(count, 0.2);
             }
         }
         if (which.contains("false")) {
             for (int count : new int[] {3, 10, 30}) {
-                pauses(count, 600);
+                countFalseReportsUnderPauses(count, 600);
             }
         }
         if (which.contains("load")) {
             for (int count : new int[] {3, 10, 30, 100}) {
-                load(count, 0);
-                load(count, 0.2);
+                measureLoad(count, 0);
+                measureLoad(count, 0.2);
             }
         }
     }
 
-    private static SimulatedNetwork world(long seed, int count, double loss) {
-        SimulatedNetwork world = new SimulatedNetwork(seed).fleet(count, 3).started(1);
-        world.loss = loss;
-        world.run(5);
-        return world;
+    private static SimulatedNetwork startNetwork(long seed, int count, double loss) {
+        SimulatedNetwork network = new SimulatedNetwork(seed).addFleet(count, 3).startAll(1);
+        network.lossRate = loss;
+        network.run(5);
+        return network;
     }
 
-    static double[] kill(int count, double loss, int times) {
-        double[] took = new double[times];
-        for (int i = 0; i < took.length; i++) {
-            SimulatedNetwork world = world(i, count, loss);
-            SimulatedNetwork.Process victim = world.processes.get(world.random.nextInt(count));
-            world.run(world.random.nextDouble());
-            MemberId life = world.judge.life(victim);
-            double from = world.now;
+    static double[] measureKillDetection(int count, double loss, int times) {
+        double[] detectionSeconds = new double[times];
+        for (int i = 0; i < detectionSeconds.length; i++) {
+            SimulatedNetwork network = startNetwork(i, count, loss);
+            SimulatedNetwork.Process victim = network.processes.get(network.random.nextInt(count));
+            network.run(network.random.nextDouble());
+            MemberId incarnation = network.invariants.currentIncarnation(victim);
+            double killedAt = network.now;
             victim.kill();
-            while (world.judge.unaware(life) > 0 && world.now - from < 30) {
-                world.run(0.01);
+            while (network.invariants.countUnaware(incarnation) > 0
+                    && network.now - killedAt < 30) {
+                network.run(0.01);
             }
-            took[i] = world.now - from;
+            detectionSeconds[i] = network.now - killedAt;
         }
-        return took;
+        return detectionSeconds;
     }
 
-    private static void heal(int count, double loss) {
-        double[] took = new double[20];
-        for (int i = 0; i < took.length; i++) {
-            SimulatedNetwork world = world(i, count, loss);
+    private static void measureHealing(int count, double loss) {
+        double[] convergenceSeconds = new double[20];
+        for (int i = 0; i < convergenceSeconds.length; i++) {
+            SimulatedNetwork network = startNetwork(i, count, loss);
             for (int a = 0; a < count; a++) {
                 for (int b = 0; b < count; b++) {
                     if (a % 2 != b % 2) {
-                        world.cut(world.processes.get(a), world.processes.get(b));
+                        network.block(network.processes.get(a), network.processes.get(b));
                     }
                 }
             }
-            world.run(20 + world.random.nextDouble());
-            world.heal();
-            double settled = world.untilSettled(60);
-            took[i] = Double.isNaN(settled) ? 60 : settled;
+            network.run(20 + network.random.nextDouble());
+            network.heal();
+            double tookSeconds = network.secondsUntilConverged(60);
+            convergenceSeconds[i] = Double.isNaN(tookSeconds) ? 60 : tookSeconds;
         }
-        print("settled after healing", count, loss, took);
+        print("settled after healing", count, loss, convergenceSeconds);
     }
 
-    /** Falsely called unreachable in so many seconds with 20% loss and pauses of 1 s. */
-    static int pauses(int count, int seconds) {
-        SimulatedNetwork world = world(1, count, 0.2);
-        int pauses = 0;
-        int suspected = world.judge.changes;
+    /** Counts false reports of unreachable members with 20% loss and pauses of 1 s. */
+    static int countFalseReportsUnderPauses(int count, int seconds) {
+        SimulatedNetwork network = startNetwork(1, count, 0.2);
+        int pauseCount = 0;
+        int snapshotsBefore = network.invariants.snapshotCount;
         for (int step = 0; step < 10 * seconds; step++) {
-            if (world.random.nextInt(200) < count) {
-                SimulatedNetwork.Process process = world.processes.get(world.random.nextInt(count));
-                if (!process.paused() && world.now - process.lastResume > 1) {
+            if (network.random.nextInt(200) < count) {
+                SimulatedNetwork.Process process =
+                        network.processes.get(network.random.nextInt(count));
+                if (!process.isPaused() && network.now - process.lastResume > 1) {
                     process.pause(1);
-                    pauses++;
+                    pauseCount++;
                 }
             }
-            world.run(0.1);
+            network.run(0.1);
         }
         System.out.printf(
                 Locale.ROOT,
@@ -103,44 +105,46 @@
                         + " %d false unreachable%n",
                 seconds,
                 count,
-                pauses,
-                world.judge.changes - suspected,
-                world.judge.falseUnreachable.size());
-        world.judge.falseUnreachable.stream().limit(5).forEach(System.out::println);
-        return world.judge.falseUnreachable.size() + world.judge.broken.size();
+                pauseCount,
+                network.invariants.snapshotCount - snapshotsBefore,
+                network.invariants.falseUnreachableReports.size());
+        network.invariants.falseUnreachableReports.stream().limit(5).forEach(System.out::println);
+        return network.invariants.falseUnreachableReports.size()
+                + network.invariants.violations.size();
     }
 
-    /** Words and bytes a second that each member sends. */
-    static double[] load(int count, double loss) {
-        SimulatedNetwork world = world(1, count, loss);
-        long words = world.words;
-        long bytes = world.bytes;
-        world.run(60);
-        double[] sent = {
-            (world.words - words) / 60.0 / count, (world.bytes - bytes) / 60.0 / count
+    /** Returns the messages and bytes that each member sends a second. */
+    static double[] measureLoad(int count, double loss) {
+        SimulatedNetwork network = startNetwork(1, count, loss);
+        long messagesBefore = network.messagesSent;
+        long bytesBefore = network.bytesSent;
+        network.run(60);
+        double[] sentPerSecond = {
+            (network.messagesSent - messagesBefore) / 60.0 / count,
+            (network.bytesSent - bytesBefore) / 60.0 / count
         };
         System.out.printf(
                 Locale.ROOT,
-                "load, %d members, loss %.1f: %.1f words/s, %.0f bytes/s a member,"
+                "load, %d members, loss %.1f: %.1f messages/s, %.0f bytes/s a member,"
                         + " largest %d%n",
                 count,
                 loss,
-                sent[0],
-                sent[1],
-                world.largest);
-        return sent;
+                sentPerSecond[0],
+                sentPerSecond[1],
+                network.largestMessageBytes);
+        return sentPerSecond;
     }
 
-    private static void print(String what, int count, double loss, double[] took) {
-        Arrays.sort(took);
+    private static void print(String label, int count, double loss, double[] seconds) {
+        Arrays.sort(seconds);
         System.out.printf(
                 Locale.ROOT,
                 "%s, %d members, loss %.1f: median %.2f s, worst of %d %.2f s%n",
-                what,
+                label,
                 count,
                 loss,
-                (took[9] + took[10]) / 2,
-                took.length,
-                took[took.length - 1]);
+                (seconds[9] + seconds[10]) / 2,
+                seconds.length,
+                seconds[seconds.length - 1]);
     }
 }
--- a/src/test/java/junipercourse/fleet/membership/LargeFleetTest.java
+++ b/src/test/java/junipercourse/fleet/membership/LargeFleetTest.java
@@ -15,87 +15,92 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * What holds the cost down in a fleet of more than some dozens, and that no verdict is lighter for
- * it.
+ * What limits the cost in fleets of more than some dozens of members, and that verdicts are as well
+ * founded there.
  */
 class LargeFleetTest {
     private static final int SIZE = 45;
 
-    private static SimulatedNetwork world(long seed, int size) {
-        return new SimulatedNetwork(seed).fleet(size, 3).started(0);
+    private static SimulatedNetwork startNetwork(long seed, int size) {
+        return new SimulatedNetwork(seed).addFleet(size, 3).startAll(0);
     }
 
-    /**
-     * A zone is lost and comes back, regions are cut apart and healed: settled, within the budget.
-     */
+    /** Two regions are partitioned and heal: the members converge and stay within their budgets. */
     @ParameterizedTest
     @CsvSource({"1, 0", "2, 0", "3, 0.05"})
-    void mostOfAFleetIsLostAndBackWithinTheBudget(long seed, double loss) {
-        SimulatedNetwork world = world(seed, SIZE);
-        world.loss = loss;
-        world.processes.forEach(process -> process.sent.restart());
-        List<SimulatedNetwork.Process> far = world.processes.subList(0, SIZE / 2);
-        List<SimulatedNetwork.Process> near = world.processes.subList(SIZE / 2, SIZE);
-        for (SimulatedNetwork.Process a : far) {
-            for (SimulatedNetwork.Process b : near) {
-                world.cut(a, b);
-                world.cut(b, a);
+    void partitionAndHealingStayWithinTheBudget(long seed, double loss) {
+        SimulatedNetwork network = startNetwork(seed, SIZE);
+        network.lossRate = loss;
+        network.processes.forEach(process -> process.outgoing.reset());
+        List<SimulatedNetwork.Process> firstRegion = network.processes.subList(0, SIZE / 2);
+        List<SimulatedNetwork.Process> secondRegion = network.processes.subList(SIZE / 2, SIZE);
+        for (SimulatedNetwork.Process inFirst : firstRegion) {
+            for (SimulatedNetwork.Process inSecond : secondRegion) {
+                network.block(inFirst, inSecond);
+                network.block(inSecond, inFirst);
             }
         }
-        world.run(60);
-        for (SimulatedNetwork.Process process : near) {
+        network.run(60);
+        for (SimulatedNetwork.Process process : secondRegion) {
             long present =
-                    process.seen.members().stream()
+                    process.lastSnapshot.members().stream()
                             .filter(each -> each.record().isPresent())
                             .count();
-            assertEquals(near.size(), present, () -> "seed " + seed + " " + process.name);
+            assertEquals(secondRegion.size(), present, () -> "seed " + seed + " " + process.name);
         }
-        world.heal();
+        network.heal();
         assertFalse(
-                Double.isNaN(world.untilSettled(30)),
-                () -> "seed " + seed + " " + world.judge.agreed());
-        assertEquals(List.of(), world.judge.broken, "seed " + seed);
-        assertEquals(List.of(), world.judge.falseUnreachable, "seed " + seed);
-        for (SimulatedNetwork.Process process : world.processes) {
-            // a second of the world's clock has up to 1% more of a member's own
+                Double.isNaN(network.secondsUntilConverged(30)),
+                () -> "seed " + seed + " " + network.invariants.findDisagreement());
+        assertEquals(List.of(), network.invariants.violations, "seed " + seed);
+        assertEquals(List.of(), network.invariants.falseUnreachableReports, "seed " + seed);
+        for (SimulatedNetwork.Process process : network.processes) {
+            // a second of the simulation has up to 1% more of a member's own clock
             assertTrue(
-                    process.sent.worst() <= 1.02 * world.settings.bytesPerSecond(),
-                    () -> "seed " + seed + " " + process.name + " " + process.sent.worst());
+                    process.outgoing.maxBytesInASecond()
+                            <= 1.02 * network.settings.bytesPerSecond(),
+                    () ->
+                            "seed "
+                                    + seed
+                                    + " "
+                                    + process.name
+                                    + " "
+                                    + process.outgoing.maxBytesInASecond());
         }
     }
 
     /**
-     * Another's verdict on somebody whom we hear takes nobody out: each tries himself, and he
-     * refutes it.
+     * Another member's report makes nobody unreachable: each member probes for itself, and the
+     * subject refutes the report.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
-    void hearsayAloneCallsNobodyUnreachable(long seed) {
-        SimulatedNetwork world = world(seed, SIZE);
-        SimulatedNetwork.Process first = world.processes.get(0);
-        MemberRecord verdict =
-                PartitionVerdictTest.said(first, "n30").with(MemberStatus.UNREACHABLE);
-        MemberRecord liar = PartitionVerdictTest.said(first, "n7");
-        for (SimulatedNetwork.Process hearing : world.processes.subList(0, 20)) {
-            GossipMessage word =
+    void anotherMembersReportAloneMakesNobodyUnreachable(long seed) {
+        SimulatedNetwork network = startNetwork(seed, SIZE);
+        SimulatedNetwork.Process first = network.processes.get(0);
+        MemberRecord unreachableRecord =
+                PartitionVerdictTest.recordOf(first, "n30").with(MemberStatus.UNREACHABLE);
+        MemberRecord falseReporter = PartitionVerdictTest.recordOf(first, "n7");
+        for (SimulatedNetwork.Process receiver : network.processes.subList(0, 20)) {
+            GossipMessage message =
                     new GossipMessage(
                             "n7",
-                            liar.incarnation(),
+                            falseReporter.incarnation(),
                             Kind.PING,
                             1,
                             "",
                             7,
-                            List.of(liar, verdict),
+                            List.of(falseReporter, unreachableRecord),
                             0,
                             0);
-            hearing.view.handleMessage(hearing.local(), liar.address(), word);
+            receiver.protocol.handleMessage(receiver.localTime(), falseReporter.address(), message);
         }
-        world.run(10);
-        assertEquals(List.of(), world.judge.falseUnreachable, "seed " + seed);
-        for (SimulatedNetwork.Process process : world.processes) {
+        network.run(10);
+        assertEquals(List.of(), network.invariants.falseUnreachableReports, "seed " + seed);
+        for (SimulatedNetwork.Process process : network.processes) {
             assertEquals(
                     MemberStatus.ALIVE,
-                    PartitionVerdictTest.said(process, "n30").status(),
+                    PartitionVerdictTest.recordOf(process, "n30").status(),
                     () -> "seed " + seed);
         }
     }
@@ -106,11 +111,11 @@
     }
 
     /**
-     * Of two views that differ in one member, or in one forgotten, a few are told and he among
-     * them.
+     * If two tables differ in one member, or one that was removed, only a few records are
+     * exchanged, and that member is among them.
      */
     @Test
-    void onlyWhatDiffersIsTold() {
+    void onlyDifferingRecordsAreExchanged() {
         MemberTable one = new MemberTable(MembershipSettings.defaults());
         MemberTable other = new MemberTable(MembershipSettings.defaults());
         for (int i = 0; i < 200; i++) {
@@ -120,99 +125,109 @@
         assertEquals(one.digest(), other.digest());
         assertEquals(List.of(), one.differingRecords(other.membershipDigest().bucketDigests(200)));
         one.merge(member(70, "z").with(MemberStatus.UNREACHABLE), 1);
-        told(one, other, "n70");
+        assertFewRecordsDiffer(one, other, "n70");
         one.merge(member(70, "z").with(2), 1);
-        assertEquals(one.digest(), other.digest(), "a refutation is no difference");
+        assertEquals(one.digest(), other.digest(), "a refutation makes no difference");
         one.merge(member(71, "z").with(MemberStatus.LEFT).with(3), 1);
-        assertTrue(one.find("n71") == null, "forgotten");
-        told(one, other, "n71");
+        assertTrue(one.find("n71") == null, "removed");
+        assertFewRecordsDiffer(one, other, "n71");
     }
 
-    private static void told(MemberTable one, MemberTable other, String name) {
-        List<MemberRecord> told = one.differingRecords(other.membershipDigest().bucketDigests(200));
-        assertTrue(told.stream().anyMatch(each -> each.name().equals(name)), told::toString);
-        assertTrue(told.size() < 40, told::toString);
+    private static void assertFewRecordsDiffer(MemberTable one, MemberTable other, String name) {
+        List<MemberRecord> differing =
+                one.differingRecords(other.membershipDigest().bucketDigests(200));
+        assertTrue(
+                differing.stream().anyMatch(memberRecord -> memberRecord.name().equals(name)),
+                differing::toString);
+        assertTrue(differing.size() < 40, differing::toString);
     }
 
-    /** Whoever raised a suspicion is gone, and all have heard of it: another takes it up. */
+    /**
+     * The member that raised a suspicion has ended, and all know the suspicion: another decides it.
+     */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
-    void aSuspicionOutlivesWhoRaisedIt(long seed) {
-        SimulatedNetwork world = world(seed, SIZE);
-        SimulatedNetwork.Process victim = world.processes.get(20);
-        MemberId life = world.judge.life(victim);
-        MemberRecord doubt =
-                PartitionVerdictTest.said(victim, victim.name).with(MemberStatus.SUSPECT);
+    void suspicionOutlivesTheMemberThatRaisedIt(long seed) {
+        SimulatedNetwork network = startNetwork(seed, SIZE);
+        SimulatedNetwork.Process victim = network.processes.get(20);
+        MemberId incarnation = network.invariants.currentIncarnation(victim);
+        MemberRecord suspectRecord =
+                PartitionVerdictTest.recordOf(victim, victim.name).with(MemberStatus.SUSPECT);
         victim.kill();
-        for (SimulatedNetwork.Process process : world.processes) {
-            if (process.runs()) {
-                process.view.handleMessage(
-                        process.local(),
+        for (SimulatedNetwork.Process process : network.processes) {
+            if (process.isRunning()) {
+                process.protocol.handleMessage(
+                        process.localTime(),
                         "10.9.0.1:7400",
-                        new GossipMessage("n99", 0, Kind.PING, 1, "", 7, List.of(doubt), 0, 0));
+                        new GossipMessage(
+                                "n99", 0, Kind.PING, 1, "", 7, List.of(suspectRecord), 0, 0));
             }
         }
-        world.run(20);
+        network.run(20);
         assertEquals(
-                0, world.judge.unaware(life), () -> "seed " + seed + ": " + world.judge.agreed());
+                0,
+                network.invariants.countUnaware(incarnation),
+                () -> "seed " + seed + ": " + network.invariants.findDisagreement());
     }
 
     /**
-     * Who bears our digest is told no news that it shows; nothing is told more often than its
-     * passes.
+     * A member with the same digest gets no update that the digest covers; no update is sent more
+     * often than its number of transmissions.
      */
     @Test
-    void newsGoToWhoMayNotKnowThem() {
-        DisseminationQueue rumours = new DisseminationQueue();
-        rumours.add(member(1, "z"), true, 2);
-        rumours.add(member(2, "z").with(MemberStatus.SUSPECT), false, 2);
-        assertEquals(List.of("n2"), filled(rumours, 1000, true));
+    void updatesGoToMembersThatMayNotHaveThem() {
+        DisseminationQueue queue = new DisseminationQueue();
+        queue.add(member(1, "z"), true, 2);
+        queue.add(member(2, "z").with(MemberStatus.SUSPECT), false, 2);
+        assertEquals(List.of("n2"), piggybackedNames(queue, 1000, true));
         assertEquals(
                 List.of("n1", "n2"),
-                filled(rumours, 1000, false),
-                "what a member says of itself first");
-        assertEquals(List.of("n1"), filled(rumours, 1000, false), "the other was passed on twice");
-        assertEquals(List.of(), filled(rumours, 1000, false));
-        rumours.add(member(3, "z"), true, 2);
-        assertEquals(List.of(), filled(rumours, 10, false), "no room");
-        rumours.dropCoveredByDigest();
-        assertEquals(List.of(), filled(rumours, 1000, false));
+                piggybackedNames(queue, 1000, false),
+                "a member's own record comes first");
+        assertEquals(
+                List.of("n1"), piggybackedNames(queue, 1000, false), "the other was sent twice");
+        assertEquals(List.of(), piggybackedNames(queue, 1000, false));
+        queue.add(member(3, "z"), true, 2);
+        assertEquals(List.of(), piggybackedNames(queue, 10, false), "it does not fit");
+        queue.dropCoveredByDigest();
+        assertEquals(List.of(), piggybackedNames(queue, 1000, false));
     }
 
-    private static List<String> filled(DisseminationQueue rumours, int room, boolean agrees) {
-        List<MemberRecord> statements = new ArrayList<>();
-        rumours.piggyback(statements, 20, room, agrees);
-        return statements.stream().map(MemberRecord::name).toList();
+    private static List<String> piggybackedNames(
+            DisseminationQueue queue, int availableBytes, boolean digestMatches) {
+        List<MemberRecord> records = new ArrayList<>();
+        queue.piggyback(records, 20, availableBytes, digestMatches);
+        return records.stream().map(MemberRecord::name).toList();
     }
 
-    /** Beyond 24 others a sample of those heard of late decides; up to that each of them. */
+    /** With over 24 others a sample of those heard recently decides, up to that each of them. */
     @Test
-    void settledRestsOnASampleOfThoseHeardOfLate() {
-        MemberTable roll = new MemberTable(MembershipSettings.defaults());
+    void convergenceRestsOnASampleOfRecentlyHeardMembers() {
+        MemberTable table = new MemberTable(MembershipSettings.defaults());
         List<PeerState> peers = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
-            roll.merge(member(i, "z"), 0);
-            peers.add(roll.find("n" + i));
+            table.merge(member(i, "z"), 0);
+            peers.add(table.find("n" + i));
         }
-        Set<Boolean> agreed = new HashSet<>();
+        Set<Boolean> matches = new HashSet<>();
         for (int i = 1; i <= MemberTable.AGREEMENT_SAMPLE_SIZE; i++) {
-            agreed.add(roll.allDigestsMatch("n0", 100));
-            peers.get(i).digest = roll.digest();
+            matches.add(table.allDigestsMatch("n0", 100));
+            peers.get(i).digest = table.digest();
             peers.get(i).digestReceivedAt = 99;
         }
-        assertEquals(Set.of(false), agreed, "fewer than the sample");
-        assertTrue(roll.allDigestsMatch("n0", 100));
+        assertEquals(Set.of(false), matches, "fewer than the sample");
+        assertTrue(table.allDigestsMatch("n0", 100));
         assertFalse(
-                roll.allDigestsMatch("n0", 99 + MemberTable.AGREEMENT_SAMPLE_SECONDS + 0.1),
+                table.allDigestsMatch("n0", 99 + MemberTable.AGREEMENT_SAMPLE_SECONDS + 0.1),
                 "too old");
         peers.get(40).digestReceivedAt = 99.5;
-        assertFalse(roll.allDigestsMatch("n0", 100), "one heard of late tells otherwise");
+        assertFalse(table.allDigestsMatch("n0", 100), "one heard recently differs");
         for (int i = 25; i < 60; i++) {
-            roll.merge(member(i, "z").with(MemberStatus.UNREACHABLE), 100);
+            table.merge(member(i, "z").with(MemberStatus.UNREACHABLE), 100);
         }
-        peers.forEach(peer -> peer.digest = roll.digest());
-        assertTrue(roll.allDigestsMatch("n0", 1000), "all 24 others, however long ago");
+        peers.forEach(peer -> peer.digest = table.digest());
+        assertTrue(table.allDigestsMatch("n0", 1000), "all 24 others, at any age");
         peers.get(3).digest = 5;
-        assertFalse(roll.allDigestsMatch("n0", 1000));
+        assertFalse(table.allDigestsMatch("n0", 1000));
     }
 }
--- a/src/test/java/junipercourse/fleet/membership/MembershipInvariants.java
+++ b/src/test/java/junipercourse/fleet/membership/MembershipInvariants.java
@@ -9,125 +9,141 @@
 import java.util.TreeMap;
 
 /**
- * Knows what is true in a {@link SimulatedNetwork} and holds each snapshot of each process against
- * it.
+ * Knows the true state of a {@link SimulatedNetwork} and checks each snapshot of each process
+ * against it.
  */
 final class MembershipInvariants {
-    private final SimulatedNetwork world;
-    private final Map<SimulatedNetwork.Process, Map<String, MemberRecord>> views = new HashMap<>();
-    private final Map<MemberId, SimulatedNetwork.Process> begun = new HashMap<>();
-    private final Map<SimulatedNetwork.Process, MemberId> lives = new HashMap<>();
-    private final Set<MemberId> left = new HashSet<>();
+    private final SimulatedNetwork network;
+    private final Map<SimulatedNetwork.Process, Map<String, MemberRecord>> recordsByProcess =
+            new HashMap<>();
+    private final Map<MemberId, SimulatedNetwork.Process> processByIncarnation = new HashMap<>();
+    private final Map<SimulatedNetwork.Process, MemberId> currentIncarnations = new HashMap<>();
+    private final Set<MemberId> leavers = new HashSet<>();
 
-    /** What must never be. */
-    final List<String> broken = new ArrayList<>();
+    /** Violations of safety properties. */
+    final List<String> violations = new ArrayList<>();
 
-    /** Verdicts on processes that ran, could be reached and were paused for 1 s at most. */
-    final List<String> falseUnreachable = new ArrayList<>();
+    /** Reports of unreachable members that ran, were reachable and paused for at most 1 s. */
+    final List<String> falseUnreachableReports = new ArrayList<>();
 
-    long lines;
-    int changes;
+    long logLineCount;
+    int snapshotCount;
 
     MembershipInvariants(SimulatedNetwork world) {
-        this.world = world;
+        this.network = world;
     }
 
-    /** A process has started: it knows nothing, and has no life yet. */
-    void started(SimulatedNetwork.Process process) {
-        views.put(process, new TreeMap<>());
-        lives.remove(process);
+    /** A process has started: it knows nothing and has no incarnation yet. */
+    void onStarted(SimulatedNetwork.Process process) {
+        recordsByProcess.put(process, new TreeMap<>());
+        currentIncarnations.remove(process);
     }
 
-    void leaves(SimulatedNetwork.Process process) {
-        left.add(lives.get(process));
+    void onLeaving(SimulatedNetwork.Process process) {
+        leavers.add(currentIncarnations.get(process));
     }
 
-    void saw(SimulatedNetwork.Process process, MembershipSnapshot snapshot) {
-        changes++;
+    void onSnapshot(SimulatedNetwork.Process process, MembershipSnapshot snapshot) {
+        snapshotCount++;
         MemberId self = snapshot.self();
-        if (self.incarnation() > 0 && !self.equals(lives.get(process))) {
-            if (begun.put(self, process) != null) {
-                broken.add(world.now + " " + self + " was begun a second time");
+        if (self.incarnation() > 0 && !self.equals(currentIncarnations.get(process))) {
+            if (processByIncarnation.put(self, process) != null) {
+                violations.add(network.now + " " + self + " was begun twice");
             }
-            lives.put(process, self);
+            currentIncarnations.put(process, self);
         }
-        Map<String, MemberRecord> view = views.get(process);
-        for (MembershipSnapshot.MemberView seen : snapshot.members()) {
-            MemberRecord next = seen.record();
-            MemberRecord last = view.put(next.name(), next);
-            if (next.equals(last)) {
+        Map<String, MemberRecord> knownRecords = recordsByProcess.get(process);
+        for (MembershipSnapshot.MemberView member : snapshot.members()) {
+            MemberRecord newRecord = member.record();
+            MemberRecord previousRecord = knownRecords.put(newRecord.name(), newRecord);
+            if (newRecord.equals(previousRecord)) {
                 continue;
             }
-            if (last != null && last.incarnation() > next.incarnation()) {
-                broken.add(
-                        world.now + " " + process.name + " goes back from " + last + " to " + next);
+            if (previousRecord != null && previousRecord.incarnation() > newRecord.incarnation()) {
+                violations.add(
+                        network.now
+                                + " "
+                                + process.name
+                                + " goes back from "
+                                + previousRecord
+                                + " to "
+                                + newRecord);
             }
-            if (!begun.containsKey(next.memberId())) {
-                broken.add(
-                        world.now
+            if (!processByIncarnation.containsKey(newRecord.memberId())) {
+                violations.add(
+                        network.now
                                 + " "
                                 + process.name
-                                + " knows a life that was never begun: "
-                                + next);
+                                + " knows an incarnation that was never begun: "
+                                + newRecord);
             }
-            if (next.status() == MemberStatus.LEFT && !left.contains(next.memberId())) {
-                broken.add(
-                        world.now
+            if (newRecord.status() == MemberStatus.LEFT
+                    && !leavers.contains(newRecord.memberId())) {
+                violations.add(
+                        network.now
                                 + " "
                                 + process.name
-                                + " takes for left who never said so: "
-                                + next);
+                                + " reports as left a member that never left: "
+                                + newRecord);
             }
-            if (next.status() == MemberStatus.UNREACHABLE
-                    && (last == null || last.status() != MemberStatus.UNREACHABLE)) {
-                unreachable(process, next);
+            if (newRecord.status() == MemberStatus.UNREACHABLE
+                    && (previousRecord == null
+                            || previousRecord.status() != MemberStatus.UNREACHABLE)) {
+                recordUnreachable(process, newRecord);
             }
         }
     }
 
-    private void unreachable(SimulatedNetwork.Process by, MemberRecord verdict) {
-        SimulatedNetwork.Process subject = begun.get(verdict.memberId());
-        boolean runs =
-                subject != null && subject.runs() && verdict.memberId().equals(lives.get(subject));
-        boolean paused = runs && subject.paused() && world.now - subject.pausedAt > 1.001;
-        boolean back =
-                runs
-                        && world.now - subject.lastResume < 1
+    private void recordUnreachable(
+            SimulatedNetwork.Process observer, MemberRecord unreachableRecord) {
+        SimulatedNetwork.Process subject = processByIncarnation.get(unreachableRecord.memberId());
+        boolean isRunning =
+                subject != null
+                        && subject.isRunning()
+                        && unreachableRecord.memberId().equals(currentIncarnations.get(subject));
+        boolean isPaused =
+                isRunning && subject.isPaused() && network.now - subject.pausedAt > 1.001;
+        boolean hasJustResumed =
+                isRunning
+                        && network.now - subject.lastResume < 1
                         && subject.lastResume - subject.lastPause > 1.001;
-        if (runs
-                && !paused
-                && !back
-                && world.cuts.isEmpty()
-                && world.now - world.cutAt > 5
-                && !left.contains(verdict.memberId())) {
-            falseUnreachable.add(world.now + " " + by.name + " says " + verdict);
+        if (isRunning
+                && !isPaused
+                && !hasJustResumed
+                && network.blockedAddresses.isEmpty()
+                && network.now - network.partitionChangedAt > 5
+                && !leavers.contains(unreachableRecord.memberId())) {
+            falseUnreachableReports.add(
+                    network.now + " " + observer.name + " reports " + unreachableRecord);
         }
     }
 
     /**
-     * Null if all running processes are settled and know who runs and who does not; otherwise what
-     * differs.
+     * Returns null if all running processes have converged and know which processes run, otherwise
+     * a description of the first difference.
      */
-    String agreed() {
+    String findDisagreement() {
         TreeMap<String, MemberId> running = new TreeMap<>();
-        for (SimulatedNetwork.Process process : world.processes) {
-            if (process.runs()) {
-                MemberId life = lives.get(process);
-                if (life == null) {
-                    return process.name + " has no life";
+        for (SimulatedNetwork.Process process : network.processes) {
+            if (process.isRunning()) {
+                MemberId incarnation = currentIncarnations.get(process);
+                if (incarnation == null) {
+                    return process.name + " has no incarnation";
                 }
                 running.merge(
-                        process.name, life, (a, b) -> a.incarnation() > b.incarnation() ? a : b);
+                        process.name,
+                        incarnation,
+                        (a, b) -> a.incarnation() > b.incarnation() ? a : b);
             }
         }
         long digest = 0;
-        for (SimulatedNetwork.Process process : world.processes) {
-            if (!process.runs()) {
+        for (SimulatedNetwork.Process process : network.processes) {
+            if (!process.isRunning()) {
                 continue;
             }
-            MembershipSnapshot snapshot = process.seen;
+            MembershipSnapshot snapshot = process.lastSnapshot;
             if (snapshot == null || !snapshot.converged()) {
-                return process.name + " is not settled";
+                return process.name + " has not converged";
             }
             if (digest != 0 && snapshot.digest() != digest) {
                 return process.name + " has another digest";
@@ -145,29 +161,29 @@
         return null;
     }
 
-    /** How many running processes do not call this life unreachable (or do not know it). */
-    int unaware(MemberId gone) {
+    /** Counts the running processes that know this incarnation and do not report it as ended. */
+    int countUnaware(MemberId ended) {
         int count = 0;
-        for (SimulatedNetwork.Process process : world.processes) {
-            if (process.runs()) {
-                MemberRecord st = views.get(process).get(gone.name());
-                boolean aware =
-                        st == null
-                                || st.incarnation() > gone.incarnation()
-                                || st.status() == MemberStatus.UNREACHABLE
-                                || st.status() == MemberStatus.LEFT;
-                count += aware ? 0 : 1;
+        for (SimulatedNetwork.Process process : network.processes) {
+            if (process.isRunning()) {
+                MemberRecord known = recordsByProcess.get(process).get(ended.name());
+                boolean isAware =
+                        known == null
+                                || known.incarnation() > ended.incarnation()
+                                || known.status() == MemberStatus.UNREACHABLE
+                                || known.status() == MemberStatus.LEFT;
+                count += isAware ? 0 : 1;
             }
         }
         return count;
     }
 
-    /** How many lives have been begun. */
-    int lives() {
-        return begun.size();
+    /** Returns how many incarnations have begun. */
+    int incarnationCount() {
+        return processByIncarnation.size();
     }
 
-    MemberId life(SimulatedNetwork.Process process) {
-        return lives.get(process);
+    MemberId currentIncarnation(SimulatedNetwork.Process process) {
+        return currentIncarnations.get(process);
     }
 }
--- a/src/test/java/junipercourse/fleet/membership/PartitionVerdictTest.java
+++ b/src/test/java/junipercourse/fleet/membership/PartitionVerdictTest.java
@@ -13,223 +13,241 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Verdicts on the hard cases, each on a few seeds that are named when one fails. */
+/** Verdicts in hard cases, each with a few seeds; a failure names its seed. */
 class PartitionVerdictTest {
-    private static SimulatedNetwork world(long seed, int count, int seeds) {
-        return new SimulatedNetwork(seed).fleet(count, seeds).started(0);
+    private static SimulatedNetwork startNetwork(long seed, int count, int seeds) {
+        return new SimulatedNetwork(seed).addFleet(count, seeds).startAll(0);
     }
 
-    static MemberRecord said(SimulatedNetwork.Process by, String about) {
-        return by.view.snapshot().members().stream()
+    static MemberRecord recordOf(SimulatedNetwork.Process observer, String name) {
+        return observer.protocol.snapshot().members().stream()
                 .map(MembershipSnapshot.MemberView::record)
-                .filter(each -> each.name().equals(about))
+                .filter(memberRecord -> memberRecord.name().equals(name))
                 .findFirst()
                 .orElseThrow();
     }
 
-    private static long present(SimulatedNetwork.Process by) {
-        return by.seen.members().stream().filter(each -> each.record().isPresent()).count();
+    private static long countPresent(SimulatedNetwork.Process observer) {
+        return observer.lastSnapshot.members().stream()
+                .filter(each -> each.record().isPresent())
+                .count();
     }
 
-    static void settles(SimulatedNetwork world, double most, long seed) {
-        assertFalse(Double.isNaN(world.untilSettled(most)), () -> "seed " + seed + " " + world);
-        assertEquals(List.of(), world.judge.broken, "seed " + seed);
+    static void assertConverges(SimulatedNetwork network, double maxSeconds, long seed) {
+        assertFalse(
+                Double.isNaN(network.secondsUntilConverged(maxSeconds)),
+                () -> "seed " + seed + " " + network);
+        assertEquals(List.of(), network.invariants.violations, "seed " + seed);
     }
 
     /**
-     * The newest holds, the other gives way and shows why; cut apart they take turns ever more
-     * seldom.
+     * The newest process keeps the name, the other yields and reports the conflict. Partitioned
+     * from each other, they begin new incarnations at ever longer intervals.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
-    void oneOfTwoProcessesUnderOneNameHolds(long seed) {
-        SimulatedNetwork world = world(seed, 4, 2);
-        SimulatedNetwork.Process first = world.processes.get(3);
-        SimulatedNetwork.Process second = world.another("n3");
+    void oneOfTwoProcessesKeepsTheNameTheyShare(long seed) {
+        SimulatedNetwork network = startNetwork(seed, 4, 2);
+        SimulatedNetwork.Process first = network.processes.get(3);
+        SimulatedNetwork.Process second = network.addWithSameName("n3");
         second.start();
-        settlesAsTwins(world, seed);
-        assertEquals(0, first.view.snapshot().self().incarnation());
-        assertEquals(second.address, first.view.conflictingMember().address());
-        assertEquals(first.address, second.view.conflictingMember().address());
-        int lives = world.judge.lives();
-        world.cut(first, second);
-        world.cut(second, first);
-        world.run(200);
-        int raises = world.judge.lives() - lives;
+        assertOneHolderOfTheName(network, seed);
+        assertEquals(0, first.protocol.snapshot().self().incarnation());
+        assertEquals(second.address, first.protocol.conflictingMember().address());
+        assertEquals(first.address, second.protocol.conflictingMember().address());
+        int incarnationsBefore = network.invariants.incarnationCount();
+        network.block(first, second);
+        network.block(second, first);
+        network.run(200);
+        int newIncarnations = network.invariants.incarnationCount() - incarnationsBefore;
         assertTrue(
-                raises >= 2 && raises <= 14,
-                "seed " + seed + ": " + raises + " new lives in 200 s");
-        world.heal();
-        settlesAsTwins(world, seed);
-        SimulatedNetwork.Process holds =
-                first.view.snapshot().self().incarnation() > 0 ? first : second;
-        SimulatedNetwork.Process waits = holds == first ? second : first;
-        holds.leave();
-        world.run(5);
-        assertTrue(waits.view.snapshot().self().incarnation() > 0, "the name is free again");
-        assertEquals(List.of(), world.judge.broken, "seed " + seed);
+                newIncarnations >= 2 && newIncarnations <= 14,
+                "seed " + seed + ": " + newIncarnations + " new incarnations in 200 s");
+        network.heal();
+        assertOneHolderOfTheName(network, seed);
+        SimulatedNetwork.Process holder =
+                first.protocol.snapshot().self().incarnation() > 0 ? first : second;
+        SimulatedNetwork.Process yielding = holder == first ? second : first;
+        holder.leave();
+        network.run(5);
+        assertTrue(yielding.protocol.snapshot().self().incarnation() > 0, "the name is free again");
+        assertEquals(List.of(), network.invariants.violations, "seed " + seed);
     }
 
-    private static void settlesAsTwins(SimulatedNetwork world, long seed) {
-        world.run(8);
-        List<MemberId> seen =
-                world.processes.stream()
-                        .map(process -> said(process, "n3").memberId())
+    private static void assertOneHolderOfTheName(SimulatedNetwork network, long seed) {
+        network.run(8);
+        List<MemberId> reported =
+                network.processes.stream()
+                        .map(process -> recordOf(process, "n3").memberId())
                         .distinct()
                         .toList();
-        assertEquals(1, seen.size(), () -> "seed " + seed + " " + world);
+        assertEquals(1, reported.size(), () -> "seed " + seed + " " + network);
     }
 
     /**
-     * An old life that comes back from a long pause, after its successor came and went elsewhere,
-     * is ignored.
+     * An incarnation that resumes after a long pause, in which its successor started elsewhere, is
+     * ignored.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
-    void aLifeThatComesBackAfterItsSuccessorIsIgnored(long seed) {
-        SimulatedNetwork world = world(seed, 4, 2);
-        SimulatedNetwork.Process old = world.processes.get(3);
-        MemberId ended = world.judge.life(old);
-        old.pause(20);
-        world.run(5);
-        SimulatedNetwork.Process next = world.another("n3");
-        next.start();
-        world.run(17);
-        MemberId successor = world.judge.life(next);
-        assertTrue(successor.incarnation() > ended.incarnation());
-        for (SimulatedNetwork.Process process : world.processes) {
+    void resumedIncarnationIsIgnoredAfterItsSuccessor(long seed) {
+        SimulatedNetwork network = startNetwork(seed, 4, 2);
+        SimulatedNetwork.Process pausedProcess = network.processes.get(3);
+        MemberId oldIncarnation = network.invariants.currentIncarnation(pausedProcess);
+        pausedProcess.pause(20);
+        network.run(5);
+        SimulatedNetwork.Process successorProcess = network.addWithSameName("n3");
+        successorProcess.start();
+        network.run(17);
+        MemberId successor = network.invariants.currentIncarnation(successorProcess);
+        assertTrue(successor.incarnation() > oldIncarnation.incarnation());
+        for (SimulatedNetwork.Process process : network.processes) {
             assertEquals(
-                    successor, said(process, "n3").memberId(), () -> "seed " + seed + " " + world);
+                    successor,
+                    recordOf(process, "n3").memberId(),
+                    () -> "seed " + seed + " " + network);
         }
-        assertEquals(0, old.view.snapshot().self().incarnation(), "the old life is over");
-        assertEquals(List.of(), world.judge.broken, "seed " + seed);
+        assertEquals(
+                0,
+                pausedProcess.protocol.snapshot().self().incarnation(),
+                "the old incarnation has ended");
+        assertEquals(List.of(), network.invariants.violations, "seed " + seed);
     }
 
-    /** A hears C only by way of B, in one or both directions: nobody is called unreachable. */
+    /** Two members reach each other only through a third, in one or both directions. */
     @ParameterizedTest
     @CsvSource({"1, false", "2, true", "3, false", "4, true"})
-    void aCutBetweenTwoThatAThirdHearsCutsNobodyOff(long seed, boolean bothWays) {
-        SimulatedNetwork world = world(seed, 3, 3);
-        world.cut(world.processes.get(0), world.processes.get(2));
+    void partialPartitionMakesNobodyUnreachable(long seed, boolean bothWays) {
+        SimulatedNetwork network = startNetwork(seed, 3, 3);
+        network.block(network.processes.get(0), network.processes.get(2));
         if (bothWays) {
-            world.cut(world.processes.get(2), world.processes.get(0));
+            network.block(network.processes.get(2), network.processes.get(0));
         }
-        world.run(60);
-        for (SimulatedNetwork.Process process : world.processes) {
-            assertEquals(3, present(process), () -> "seed " + seed + " " + world);
+        network.run(60);
+        for (SimulatedNetwork.Process process : network.processes) {
+            assertEquals(3, countPresent(process), () -> "seed " + seed + " " + network);
             assertEquals(
                     0,
-                    said(process, process.name).version(),
-                    "helpers answer before anybody is suspected");
+                    recordOf(process, process.name).version(),
+                    "indirect probes succeed before anybody is suspected");
         }
-        world.heal();
-        settles(world, 5, seed);
+        network.heal();
+        assertConverges(network, 5, seed);
     }
 
     /**
-     * Cut apart for longer than the verdicts take, with all seeds gone: it settles without them.
+     * After a partition longer than the verdicts take, with all seeds gone, the members converge.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
-    void aCutHealsWithoutSeeds(long seed) {
-        SimulatedNetwork world = world(seed, 7, 2);
-        world.processes.get(0).kill();
-        world.processes.get(1).kill();
-        for (SimulatedNetwork.Process a : world.processes.subList(2, 4)) {
-            for (SimulatedNetwork.Process b : world.processes.subList(4, 7)) {
-                world.cut(a, b);
-                world.cut(b, a);
+    void partitionHealsWithoutSeeds(long seed) {
+        SimulatedNetwork network = startNetwork(seed, 7, 2);
+        network.processes.get(0).kill();
+        network.processes.get(1).kill();
+        for (SimulatedNetwork.Process oneSide : network.processes.subList(2, 4)) {
+            for (SimulatedNetwork.Process otherSide : network.processes.subList(4, 7)) {
+                network.block(oneSide, otherSide);
+                network.block(otherSide, oneSide);
             }
         }
-        world.run(30);
-        assertEquals(2, present(world.processes.get(2)), world::toString);
-        world.heal();
-        settles(world, 5, seed);
+        network.run(30);
+        assertEquals(2, countPresent(network.processes.get(2)), network::toString);
+        network.heal();
+        assertConverges(network, 5, seed);
     }
 
     /**
-     * No seed tells a restarted process of its last life: it raises its own as soon as others speak
-     * of that.
+     * Without a seed that reports its last incarnation, a restarted process raises its own as soon
+     * as others mention the last one.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
-    void aRestartWithoutSeedsOutgrowsItsLastLife(long seed) {
-        SimulatedNetwork world = world(seed, 4, 1);
-        SimulatedNetwork.Process again = world.processes.get(3);
-        MemberId last = world.judge.life(again);
-        world.processes.get(0).kill();
-        again.kill();
-        again.start();
-        settles(world, 4.5, seed);
-        assertTrue(world.judge.life(again).incarnation() > last.incarnation(), "seed " + seed);
-        MemberRecord later =
+    void restartWithoutSeedsGetsAHigherIncarnation(long seed) {
+        SimulatedNetwork network = startNetwork(seed, 4, 1);
+        SimulatedNetwork.Process restarted = network.processes.get(3);
+        MemberId lastIncarnation = network.invariants.currentIncarnation(restarted);
+        network.processes.get(0).kill();
+        restarted.kill();
+        restarted.start();
+        assertConverges(network, 4.5, seed);
+        assertTrue(
+                network.invariants.currentIncarnation(restarted).incarnation()
+                        > lastIncarnation.incarnation(),
+                "seed " + seed);
+        MemberRecord laterRecord =
                 new MemberRecord(
                         "n3",
-                        MemberId.nextIncarnation(last.incarnation() << 1, seed),
+                        MemberId.nextIncarnation(lastIncarnation.incarnation() << 1, seed),
                         0,
                         MemberStatus.SUSPECT,
-                        again.address,
+                        restarted.address,
                         "z0");
-        GossipMessage told =
-                new GossipMessage("n1", 0, Kind.SYNC_RESPONSE, 1, "", 7, List.of(later), 0, 1);
-        again.view.handleMessage(again.local(), "10.0.0.2:7400", told);
+        GossipMessage syncResponse =
+                new GossipMessage(
+                        "n1", 0, Kind.SYNC_RESPONSE, 1, "", 7, List.of(laterRecord), 0, 1);
+        restarted.protocol.handleMessage(restarted.localTime(), "10.0.0.2:7400", syncResponse);
         assertTrue(
-                again.view.snapshot().self().incarnation() > later.incarnation(), "raised at once");
+                restarted.protocol.snapshot().self().incarnation() > laterRecord.incarnation(),
+                "raised at once");
     }
 
-    /** Who hears nobody puts his verdicts off; the others do not wait for him. */
+    /** A member that receives nothing delays its verdicts; the others do not wait for it. */
     @Test
-    void whoHearsNobodySuspectsHimselfFirst() {
-        SimulatedNetwork world = world(5, 5, 2);
-        SimulatedNetwork.Process alone = world.processes.get(4);
-        for (SimulatedNetwork.Process other : world.processes.subList(0, 4)) {
-            world.cut(other, alone);
+    void isolatedMemberDelaysItsVerdicts() {
+        SimulatedNetwork network = startNetwork(5, 5, 2);
+        SimulatedNetwork.Process isolated = network.processes.get(4);
+        for (SimulatedNetwork.Process other : network.processes.subList(0, 4)) {
+            network.block(other, isolated);
         }
-        world.run(8);
-        assertEquals(5, present(alone), world::toString);
-        world.run(20);
-        assertEquals(1, present(alone), world::toString);
-        world.heal();
-        settles(world, 5, 5);
+        network.run(8);
+        assertEquals(5, countPresent(isolated), network::toString);
+        network.run(20);
+        assertEquals(1, countPresent(isolated), network::toString);
+        network.heal();
+        assertConverges(network, 5, 5);
     }
 
     /**
-     * Observers that stop while they doubt somebody begin anew; broken on purpose, they blame him.
+     * Members that stall while they suspect another start over; with the fault injected, they
+     * report it as unreachable.
      */
     @Test
-    void aStallOfOurOwnIsHeldAgainstNobody() {
-        assertEquals(0, falseAfterStalls(InjectedFault.NONE));
+    void ownStallMakesNobodyUnreachable() {
+        assertEquals(0, countFalseReportsAfterStalls(InjectedFault.NONE));
         assertTrue(
-                falseAfterStalls(InjectedFault.LOCAL_STALL_IGNORED) > 0, "the judge saw nothing");
+                countFalseReportsAfterStalls(InjectedFault.LOCAL_STALL_IGNORED) > 0,
+                "the injected fault was not detected");
     }
 
-    private static int falseAfterStalls(InjectedFault fault) {
-        int found = 0;
+    private static int countFalseReportsAfterStalls(InjectedFault fault) {
+        int falseReports = 0;
         for (long seed = 1; seed <= 40; seed++) {
-            SimulatedNetwork world = new SimulatedNetwork(seed);
-            world.faults = fault;
-            world.fleet(4, 2).started(0);
-            world.processes.get(0).pause(1);
-            world.run(0.95);
-            // longer than who hears nobody waits: after less, that alone keeps him from a verdict
-            world.processes
+            SimulatedNetwork network = new SimulatedNetwork(seed);
+            network.faults = fault;
+            network.addFleet(4, 2).startAll(0);
+            network.processes.get(0).pause(1);
+            network.run(0.95);
+            // longer than the grace of an isolated member, which alone would prevent a verdict
+            network.processes
                     .subList(1, 4)
-                    .forEach(process -> process.pause(11 + world.random.nextDouble()));
-            world.run(15);
-            found += world.judge.falseUnreachable.size();
+                    .forEach(process -> process.pause(11 + network.random.nextDouble()));
+            network.run(15);
+            falseReports += network.invariants.falseUnreachableReports.size();
         }
-        return found;
+        return falseReports;
     }
 
-    /** The figures of the design note, with room, at the size that most sites have. */
+    /** Limits around the figures of the design note, at the size of most sites. */
     @Test
-    void killsAreSeenSoonPausesAreNotAndWordsAreBounded() {
-        double[] took = FleetFigures.kill(10, 0.2, 10);
+    void killsAreDetectedSoonPausesAreNotAndMessagesAreBounded() {
+        double[] detectionSeconds = FleetFigures.measureKillDetection(10, 0.2, 10);
+        assertTrue(
+                DoubleStream.of(detectionSeconds).max().orElseThrow() < 2.5,
+                () -> "seeds 0 to 9: " + Arrays.toString(detectionSeconds));
+        assertEquals(0, FleetFigures.countFalseReportsUnderPauses(10, 120), "seed 1");
+        double[] sentPerSecond = FleetFigures.measureLoad(10, 0.2);
         assertTrue(
-                DoubleStream.of(took).max().orElseThrow() < 2.5,
-                () -> "seeds 0 to 9: " + Arrays.toString(took));
-        assertEquals(0, FleetFigures.pauses(10, 120), "seed 1");
-        double[] sent = FleetFigures.load(10, 0.2);
-        assertTrue(sent[0] < 100 && sent[1] < 20_000, () -> "seed 1: " + Arrays.toString(sent));
+                sentPerSecond[0] < 100 && sentPerSecond[1] < 20_000,
+                () -> "seed 1: " + Arrays.toString(sentPerSecond));
     }
 }
--- a/src/test/java/junipercourse/fleet/membership/SimulatedNetwork.java
+++ b/src/test/java/junipercourse/fleet/membership/SimulatedNetwork.java
@@ -12,45 +12,46 @@
 import java.util.SplittableRandom;
 
 /**
- * Many views under one virtual clock, on a network that loses, delays, reorders, doubles and cuts
- * as the seed has it. Each process has a clock of its own that drifts by up to 1%; what comes while
- * it is paused waits in a bounded buffer. The {@link InvariantChecker} sees each snapshot.
+ * Many members under one virtual clock, on a network that loses, delays, reorders, duplicates and
+ * blocks messages as the seed determines. Each process has a clock of its own that drifts by up to
+ * 1%; messages that arrive while it is paused wait in a bounded buffer. {@link
+ * MembershipInvariants} checks each snapshot.
  */
 final class SimulatedNetwork {
-    private static final int BUFFER = 400;
+    private static final int MAX_PAUSED_MESSAGES = 400;
 
     final SplittableRandom random;
-    final MembershipInvariants judge = new MembershipInvariants(this);
+    final MembershipInvariants invariants = new MembershipInvariants(this);
     final List<Process> processes = new ArrayList<>();
 
-    /** For each address those that its words do not reach; none without any. */
-    final Map<String, Set<String>> cuts = new HashMap<>();
+    /** By address, the addresses that its messages do not reach; no entry if there are none. */
+    final Map<String, Set<String>> blockedAddresses = new HashMap<>();
 
-    /** False in worlds too large for the judge to hold each snapshot against the truth. */
-    boolean judged = true;
+    /** False in networks too large to check each snapshot. */
+    boolean checksInvariants = true;
 
     MembershipSettings settings = MembershipSettings.defaults();
     InjectedFault faults = InjectedFault.NONE;
-    double loss;
-    double doubled;
-    double delayMost = 0.004;
+    double lossRate;
+    double duplicationRate;
+    double maxDelaySeconds = 0.004;
 
-    /** When a cut was last made or healed. */
-    double cutAt = Double.NEGATIVE_INFINITY;
+    /** When the last partition began or healed. */
+    double partitionChangedAt = Double.NEGATIVE_INFINITY;
 
     double now;
-    long words;
-    long bytes;
-    int largest;
-    private final Map<String, List<Process>> places = new HashMap<>();
+    long messagesSent;
+    long bytesSent;
+    int largestMessageBytes;
+    private final Map<String, List<Process>> processesByAddress = new HashMap<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private long sequence;
 
-    private record Event(double at, long number, Runnable what) implements Comparable<Event> {
+    private record Event(double time, long order, Runnable task) implements Comparable<Event> {
         @Override
         public int compareTo(Event other) {
-            int order = Double.compare(at, other.at);
-            return order == 0 ? Long.compare(number, other.number) : order;
+            int comparison = Double.compare(time, other.time);
+            return comparison == 0 ? Long.compare(order, other.order) : comparison;
         }
     }
 
@@ -58,24 +59,24 @@
         random = new SplittableRandom(seed);
     }
 
-    /** A place in the fleet where one process after the other may run. */
+    /** A member of the fleet, which may be started again after it has ended. */
     final class Process implements MembershipListener {
         final String name;
         final String address;
         private final String zone;
         private final List<String> seeds;
-        private final double rate = 0.99 + random.nextDouble() * 0.02;
-        private final double offset = random.nextDouble() * 1000;
-        private final Deque<Runnable> waiting = new ArrayDeque<>();
+        private final double clockRate = 0.99 + random.nextDouble() * 0.02;
+        private final double clockOffset = random.nextDouble() * 1000;
+        private final Deque<Runnable> pausedMessages = new ArrayDeque<>();
         private int starts;
-        MembershipProtocol view;
-        MembershipSnapshot seen;
+        MembershipProtocol protocol;
+        MembershipSnapshot lastSnapshot;
 
-        /** What it has sent, as the wire counts it. */
-        final Traffic sent = new Traffic();
+        /** What it has sent, in bytes on the wire. */
+        final TrafficCounter outgoing = new TrafficCounter();
 
-        /** What has reached it. */
-        final Traffic read = new Traffic();
+        /** What has arrived at it. */
+        final TrafficCounter incoming = new TrafficCounter();
 
         double pausedAt = Double.NaN;
         double lastPause = Double.NEGATIVE_INFINITY;
@@ -88,61 +89,61 @@
             this.seeds = seeds;
         }
 
-        boolean runs() {
-            return view != null;
+        boolean isRunning() {
+            return protocol != null;
         }
 
-        boolean paused() {
+        boolean isPaused() {
             return !Double.isNaN(pausedAt);
         }
 
-        double local() {
-            return offset + now * rate;
+        double localTime() {
+            return clockOffset + now * clockRate;
         }
 
         void start() {
             starts++;
-            view =
+            protocol =
                     new MembershipProtocol(
                             settings, name, address, zone, seeds, random.nextLong(), this);
-            view.inject(faults);
-            seen = null;
-            judge.started(this);
-            view.start(local());
-            sleep(view);
+            protocol.inject(faults);
+            lastSnapshot = null;
+            invariants.onStarted(this);
+            protocol.start(localTime());
+            scheduleTick(protocol);
         }
 
-        /** The process is gone, with all that it knew. */
+        /** Ends the process with all its state. */
         void kill() {
-            view = null;
-            waiting.clear();
+            protocol = null;
+            pausedMessages.clear();
             pausedAt = Double.NaN;
         }
 
         void leave() {
-            judge.leaves(this);
-            view.leave(local());
-            MembershipProtocol leaving = view;
-            at(
+            invariants.onLeaving(this);
+            protocol.leave(localTime());
+            MembershipProtocol leavingProtocol = protocol;
+            scheduleAt(
                     now + 1,
                     () -> {
-                        if (view == leaving) {
+                        if (protocol == leavingProtocol) {
                             kill();
                         }
                     });
         }
 
         void pause(double seconds) {
-            if (paused()) {
+            if (isPaused()) {
                 return;
             }
             pausedAt = now;
             lastPause = now;
-            MembershipProtocol paused = view;
-            at(
+            MembershipProtocol pausedProtocol = protocol;
+            scheduleAt(
                     now + seconds,
                     () -> {
-                        if (view == paused) {
+                        if (protocol == pausedProtocol) {
                             pausedAt = Double.NaN;
                             lastResume = now;
                             int order =
@@ -150,84 +151,85 @@
                                             3); // a view must bear each, the first by seeing a late
                             // tick
                             if (order > 0) {
-                                view.handleStall(local(), seconds * rate);
+                                protocol.handleStall(localTime(), seconds * clockRate);
                             }
                             if (order < 2) {
-                                view.tick(local());
+                                protocol.tick(localTime());
                             }
-                            while (!waiting.isEmpty() && view == paused) {
-                                waiting.poll().run();
+                            while (!pausedMessages.isEmpty() && protocol == pausedProtocol) {
+                                pausedMessages.poll().run();
                             }
-                            sleep(paused);
+                            scheduleTick(pausedProtocol);
                         }
                     });
         }
 
-        private void sleep(MembershipProtocol running) {
-            double due = running.nextTickAt();
-            if (due < Double.POSITIVE_INFINITY) {
-                at(
-                        Math.max(now, (due - offset) / rate + 1e-9),
+        private void scheduleTick(MembershipProtocol tickedProtocol) {
+            double dueAt = tickedProtocol.nextTickAt();
+            if (dueAt < Double.POSITIVE_INFINITY) {
+                scheduleAt(
+                        Math.max(now, (dueAt - clockOffset) / clockRate + 1e-9),
                         () -> {
-                            if (view == running && !paused()) {
-                                view.tick(local());
-                                sleep(running);
+                            if (protocol == tickedProtocol && !isPaused()) {
+                                protocol.tick(localTime());
+                                scheduleTick(tickedProtocol);
                             }
                         });
             }
         }
 
-        void hear(String from, GossipMessage word) {
-            MembershipProtocol hearing = view;
-            if (paused()) {
-                if (waiting.size() < BUFFER) {
-                    waiting.add(() -> hearing.handleMessage(local(), from, word));
+        void receive(String from, GossipMessage message) {
+            MembershipProtocol receivingProtocol = protocol;
+            if (isPaused()) {
+                if (pausedMessages.size() < MAX_PAUSED_MESSAGES) {
+                    pausedMessages.add(
+                            () -> receivingProtocol.handleMessage(localTime(), from, message));
                 }
-            } else if (view != null) {
-                view.handleMessage(local(), from, word);
+            } else if (protocol != null) {
+                protocol.handleMessage(localTime(), from, message);
             }
         }
 
         @Override
-        public void send(String to, GossipMessage word) {
-            words++;
-            bytes += word.encodedSize();
-            sent.add(now, DatagramSize.of(word));
-            largest = Math.max(largest, word.encodedSize());
-            deliver(address, to, word);
+        public void send(String to, GossipMessage message) {
+            messagesSent++;
+            bytesSent += message.encodedSize();
+            outgoing.add(now, DatagramSize.of(message));
+            largestMessageBytes = Math.max(largestMessageBytes, message.encodedSize());
+            deliver(address, to, message);
         }
 
         @Override
         public void membershipChanged(MembershipSnapshot snapshot) {
-            if (judged) {
-                judge.saw(this, snapshot);
+            if (checksInvariants) {
+                invariants.onSnapshot(this, snapshot);
             }
-            seen = snapshot;
+            lastSnapshot = snapshot;
         }
 
         @Override
         public void log(String line) {
-            judge.lines++;
+            invariants.logLineCount++;
         }
     }
 
     Process add(String name, String address, String zone, List<String> seeds) {
         Process process = new Process(name, address, zone, seeds);
         processes.add(process);
-        places.computeIfAbsent(address, a -> new ArrayList<>()).add(process);
+        processesByAddress.computeIfAbsent(address, a -> new ArrayList<>()).add(process);
         return process;
     }
 
-    /** A second process under a name that is in use, at an address of its own. */
-    Process another(String name) {
+    /** Adds a second process with a name that is in use, at another address. */
+    Process addWithSameName(String name) {
         return add(name, "10.9.9.9:7400", "z9", List.of(processes.get(0).address));
     }
 
     /**
-     * {@code count} processes, of which the first {@code seeds} are everybody's seeds; none is
+     * Adds {@code count} processes, of which the first {@code seeds} are the seeds of all; none is
      * started.
      */
-    SimulatedNetwork fleet(int count, int seeds) {
+    SimulatedNetwork addFleet(int count, int seeds) {
         List<String> addresses = new ArrayList<>();
         for (int i = 0; i < seeds; i++) {
             addresses.add(address(i));
@@ -238,14 +240,14 @@
         return this;
     }
 
-    /** All started within so many seconds, and settled. */
-    SimulatedNetwork started(double within) {
+    /** Starts all processes within this time and waits until they have converged. */
+    SimulatedNetwork startAll(double withinSeconds) {
         for (Process process : processes) {
-            at(now + random.nextDouble() * within, process::start);
+            scheduleAt(now + random.nextDouble() * withinSeconds, process::start);
         }
-        double took = untilSettled(within + 60);
-        if (Double.isNaN(took)) {
-            throw new AssertionError("not settled after the start\n" + this);
+        double tookSeconds = secondsUntilConverged(withinSeconds + 60);
+        if (Double.isNaN(tookSeconds)) {
+            throw new AssertionError("not converged after the start\n" + this);
         }
         run(2);
         return this;
@@ -255,64 +257,65 @@
         return "10.0." + number / 200 + "." + (number % 200 + 1) + ":7400";
     }
 
-    private void deliver(String from, String to, GossipMessage word) {
-        if (!cuts.isEmpty() && cuts.getOrDefault(from, Set.of()).contains(to)) {
+    private void deliver(String from, String to, GossipMessage message) {
+        if (!blockedAddresses.isEmpty()
+                && blockedAddresses.getOrDefault(from, Set.of()).contains(to)) {
             return;
         }
-        for (int copies = random.nextDouble() < doubled ? 2 : 1; copies > 0; copies--) {
-            if (random.nextDouble() >= loss) {
-                double delay = 0.0002 + random.nextDouble() * delayMost;
-                at(
+        for (int copies = random.nextDouble() < duplicationRate ? 2 : 1; copies > 0; copies--) {
+            if (random.nextDouble() >= lossRate) {
+                double delay = 0.0002 + random.nextDouble() * maxDelaySeconds;
+                scheduleAt(
                         now + (random.nextInt(50) == 0 ? 5 * delay : delay),
-                        () -> arrive(from, to, word));
+                        () -> arrive(from, to, message));
             }
         }
     }
 
-    private void arrive(String from, String to, GossipMessage word) {
-        for (Process process : places.getOrDefault(to, List.of())) {
-            if (process.runs()) {
-                process.read.add(now, DatagramSize.of(word));
-                process.hear(from, word);
+    private void arrive(String from, String to, GossipMessage message) {
+        for (Process process : processesByAddress.getOrDefault(to, List.of())) {
+            if (process.isRunning()) {
+                process.incoming.add(now, DatagramSize.of(message));
+                process.receive(from, message);
             }
         }
     }
 
-    /** Words from one side no longer reach the other; one way only. */
-    void cut(Process from, Process to) {
-        cuts.computeIfAbsent(from.address, a -> new HashSet<>()).add(to.address);
-        cutAt = now;
+    /** Blocks messages from one process to another, in this direction only. */
+    void block(Process from, Process to) {
+        blockedAddresses.computeIfAbsent(from.address, a -> new HashSet<>()).add(to.address);
+        partitionChangedAt = now;
     }
 
     void heal() {
-        cuts.clear();
-        cutAt = now;
+        blockedAddresses.clear();
+        partitionChangedAt = now;
     }
 
-    void at(double time, Runnable what) {
-        events.add(new Event(time, sequence++, what));
+    void scheduleAt(double time, Runnable task) {
+        events.add(new Event(time, sequence++, task));
     }
 
     void run(double seconds) {
         double until = now + seconds;
-        while (!events.isEmpty() && events.peek().at <= until) {
+        while (!events.isEmpty() && events.peek().time <= until) {
             Event event = events.poll();
-            now = Math.max(now, event.at);
-            event.what.run();
+            now = Math.max(now, event.time);
+            event.task.run();
         }
         now = until;
     }
 
     /**
-     * Seconds until all running processes are settled on the same view of who runs; NaN if not in
-     * time.
+     * Returns the seconds until all running processes agree on who runs; NaN if that takes longer
+     * than the maximum.
      */
-    double untilSettled(double most) {
-        double from = now;
-        while (now - from < most) {
+    double secondsUntilConverged(double maxSeconds) {
+        double startedAt = now;
+        while (now - startedAt < maxSeconds) {
             run(0.05);
-            if (judge.agreed() == null) {
-                return now - from;
+            if (invariants.findDisagreement() == null) {
+                return now - startedAt;
             }
         }
         return Double.NaN;
@@ -320,15 +323,15 @@
 
     @Override
     public String toString() {
-        StringBuilder text = new StringBuilder("at " + now + ": " + judge.agreed());
+        StringBuilder text = new StringBuilder("at " + now + ": " + invariants.findDisagreement());
         for (Process process : processes) {
-            text.append('\n').append(process.name).append(process.runs() ? " " : " (down) ");
-            if (process.view != null) {
-                MembershipSnapshot snapshot = process.view.snapshot();
+            text.append('\n').append(process.name).append(process.isRunning() ? " " : " (down) ");
+            if (process.protocol != null) {
+                MembershipSnapshot snapshot = process.protocol.snapshot();
                 text.append(snapshot.self())
-                        .append(snapshot.converged() ? " settled" : " unsettled");
-                for (MembershipSnapshot.MemberView each : snapshot.members()) {
-                    text.append("\n    ").append(each.record());
+                        .append(snapshot.converged() ? " converged" : " not converged");
+                for (MembershipSnapshot.MemberView member : snapshot.members()) {
+                    text.append("\n    ").append(member.record());
                 }
             }
         }
--- a/src/test/java/junipercourse/fleet/membership/SuspicionTest.java
+++ b/src/test/java/junipercourse/fleet/membership/SuspicionTest.java
@@ -11,83 +11,86 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * One view among scripted members that answer each question at once, save one that is silent for a
- * while.
+ * The protocol among scripted members that acknowledge each probe at once, except for one that is
+ * silent for a while.
  */
 class SuspicionTest {
-    private static final int OTHERS = 4;
-    private final Deque<GossipMessage> answers = new ArrayDeque<>();
-    private final List<Double> suspected = new ArrayList<>();
+    private static final int OTHER_MEMBERS = 4;
+    private final Deque<GossipMessage> pendingAcknowledgements = new ArrayDeque<>();
+    private final List<Double> suspectedAt = new ArrayList<>();
     private double now = 50;
-    private boolean silent;
-    private MembershipProtocol view;
+    private boolean isFirstSilent;
+    private MembershipProtocol protocol;
 
     private static MemberRecord member(int number) {
         String address = "10.2.0." + (number + 1) + ":7400";
         return new MemberRecord("n" + number, 1L << 32, 0, MemberStatus.ALIVE, address, "z");
     }
 
-    private final class Script implements MembershipListener {
+    private final class RespondingMembers implements MembershipListener {
         @Override
-        public void send(String to, GossipMessage word) {
-            for (int i = 1; i <= OTHERS; i++) {
-                boolean asked =
+        public void send(String to, GossipMessage message) {
+            for (int i = 1; i <= OTHER_MEMBERS; i++) {
+                boolean isProbed =
                         to.equals(member(i).address())
-                                && word.kind() == Kind.PING
-                                && word.subject().equals(member(i).name());
-                if (asked && !(silent && i == 1)) {
-                    answers.add(
+                                && message.kind() == Kind.PING
+                                && message.subject().equals(member(i).name());
+                if (isProbed && !(isFirstSilent && i == 1)) {
+                    pendingAcknowledgements.add(
                             new GossipMessage(
                                     member(i).name(),
                                     member(i).incarnation(),
                                     Kind.ACK,
-                                    word.sequence(),
+                                    message.sequence(),
                                     member(i).name(),
-                                    word.digest(),
+                                    message.digest(),
                                     List.of(member(i)),
                                     0,
                                     0));
                 }
             }
-            for (MemberRecord statement : word.records()) {
-                if (statement.name().equals("n1") && statement.status() == MemberStatus.SUSPECT) {
-                    suspected.add(now);
+            for (MemberRecord memberRecord : message.records()) {
+                if (memberRecord.name().equals("n1")
+                        && memberRecord.status() == MemberStatus.SUSPECT) {
+                    suspectedAt.add(now);
                 }
             }
         }
 
         @Override
-        public void membershipChanged(MembershipSnapshot snapshot) { // what is sent tells it
+        public void membershipChanged(
+                MembershipSnapshot snapshot) { // the messages sent are checked
         }
 
         @Override
-        public void log(String line) { // what is sent tells it
+        public void log(String line) { // the messages sent are checked
         }
     }
 
     private void run(double seconds) {
         for (double until = now + seconds; now < until; now += 0.005) {
-            while (!answers.isEmpty()) {
-                GossipMessage word = answers.poll();
-                view.handleMessage(now, word.records().get(0).address(), word);
+            while (!pendingAcknowledgements.isEmpty()) {
+                GossipMessage message = pendingAcknowledgements.poll();
+                protocol.handleMessage(now, message.records().get(0).address(), message);
             }
-            if (now >= view.nextTickAt()) {
-                view.tick(now);
+            if (now >= protocol.nextTickAt()) {
+                protocol.tick(now);
             }
         }
     }
 
     /**
-     * One lost round is no suspicion, which all would have to hear refuted; two in a row are one.
+     * One lost probe round raises no suspicion, which would have to be refuted towards all members;
+     * two in a row do.
      */
     @ParameterizedTest
     @CsvSource({"0.21, false", "0.24, false", "1.5, true"})
-    void aSuspicionTakesTwoLostRounds(double seconds, boolean expected) {
+    void suspicionTakesTwoLostRoundsInARow(double seconds, boolean expected) {
         for (long seed = 1; seed <= 20; seed++) {
-            answers.clear();
-            suspected.clear();
+            pendingAcknowledgements.clear();
+            suspectedAt.clear();
             MembershipSettings settings = MembershipSettings.defaults();
-            view =
+            protocol =
                     new MembershipProtocol(
                             settings,
                             "n0",
@@ -95,10 +98,10 @@
                             "z",
                             List.of(),
                             seed,
-                            new Script());
-            view.start(now);
-            for (int i = 1; i <= OTHERS; i++) {
-                view.handleMessage(
+                            new RespondingMembers());
+            protocol.start(now);
+            for (int i = 1; i <= OTHER_MEMBERS; i++) {
+                protocol.handleMessage(
                         now,
                         member(i).address(),
                         new GossipMessage(
@@ -113,11 +116,11 @@
                                 0));
             }
             run(5);
-            silent = true;
+            isFirstSilent = true;
             run(seconds);
-            silent = false;
+            isFirstSilent = false;
             run(1);
-            assertEquals(expected, !suspected.isEmpty(), "seed " + seed + ": " + suspected);
+            assertEquals(expected, !suspectedAt.isEmpty(), "seed " + seed + ": " + suspectedAt);
         }
     }
 }
--- a/src/test/java/junipercourse/fleet/membership/VirtualScale.java
+++ b/src/test/java/junipercourse/fleet/membership/VirtualScale.java
@@ -9,13 +9,13 @@
 import java.util.stream.IntStream;
 
 /**
- * The plays of the scale run under the virtual clock, as a second witness: five zones, two regions
+ * The scenarios of the scale run under the virtual clock, for comparison: five zones, two regions
  * of which the first holds the zones 0 and 1 and the first half of zone 2, three seeds.
  */
 final class VirtualScale {
-    /** Told of each play that has ended. */
-    interface Sink {
-        void add(
+    /** Receives the results of each scenario. */
+    interface ResultListener {
+        void onResult(
                 String play,
                 int size,
                 String figure,
@@ -25,28 +25,29 @@
                 int count);
 
         /**
-         * {@code seconds} until all agreed; not a number if they did not within {@link #MOST_S}.
+         * {@code seconds} until all members agreed; NaN if they did not within {@link
+         * #MAX_CONVERGENCE_SECONDS}.
          */
-        void settled(String play, int size, double seconds);
+        void onConverged(String play, int size, double seconds);
     }
 
     private static final int ZONES = 5;
-    private static final double STEP_S = 0.25;
-    static final double MOST_S = 120;
-    private final SimulatedNetwork world;
+    private static final double STEP_SECONDS = 0.25;
+    static final double MAX_CONVERGENCE_SECONDS = 120;
+    private final SimulatedNetwork network;
     private final int size;
-    private final Sink sink;
-    private double from;
+    private final ResultListener listener;
+    private double startedAt;
 
-    VirtualScale(MembershipSettings settings, int size, long seed, Sink sink) {
-        world = new SimulatedNetwork(seed);
-        world.settings = settings;
-        world.judged = false;
+    VirtualScale(MembershipSettings settings, int size, long seed, ResultListener sink) {
+        network = new SimulatedNetwork(seed);
+        network.settings = settings;
+        network.checksInvariants = false;
         this.size = size;
-        this.sink = sink;
+        this.listener = sink;
         List<String> seeds = IntStream.range(0, 3).mapToObj(VirtualScale::address).toList();
         for (int i = 0; i < size; i++) {
-            world.add("n" + i, address(i), "z" + i * ZONES / size, seeds);
+            network.add("n" + i, address(i), "z" + i * ZONES / size, seeds);
         }
     }
 
@@ -54,179 +55,191 @@
         return "127.1." + number / 200 + "." + (number % 200 + 1) + ":7400";
     }
 
-    private List<SimulatedNetwork.Process> zone(int zone) {
-        return world.processes.stream().filter(p -> size(p) * ZONES / size == zone).toList();
+    private List<SimulatedNetwork.Process> processesInZone(int zone) {
+        return network.processes.stream().filter(p -> size(p) * ZONES / size == zone).toList();
     }
 
     private static int size(SimulatedNetwork.Process process) {
         return Integer.parseInt(process.name.substring(1));
     }
 
-    private boolean first(SimulatedNetwork.Process process) {
+    private boolean isInFirstRegion(SimulatedNetwork.Process process) {
         return size(process) < size / 2;
     }
 
-    private boolean apart(SimulatedNetwork.Process one, SimulatedNetwork.Process other) {
-        return world.cuts.getOrDefault(one.address, Set.of()).contains(other.address);
+    private boolean isBlocked(SimulatedNetwork.Process one, SimulatedNetwork.Process other) {
+        return network.blockedAddresses.getOrDefault(one.address, Set.of()).contains(other.address);
     }
 
     void play(Set<String> plays) {
-        begin();
-        world.processes.forEach(SimulatedNetwork.Process::start);
-        end("start", settle());
-        world.run(5);
+        startMeasurement();
+        network.processes.forEach(SimulatedNetwork.Process::start);
+        reportMeasurement("start", awaitConvergence());
+        network.run(5);
         if (plays.contains("calm")) {
-            begin();
-            steps(20);
-            end("calm", 0);
+            startMeasurement();
+            runInSteps(20);
+            reportMeasurement("calm", 0);
         }
         if (plays.contains("kill")) {
-            begin();
-            SimulatedNetwork.Process victim = world.processes.get(size / 2);
+            startMeasurement();
+            SimulatedNetwork.Process victim = network.processes.get(size / 2);
             victim.kill();
-            end("kill", settle());
-            begin();
+            reportMeasurement("kill", awaitConvergence());
+            startMeasurement();
             victim.start();
-            end("restart", settle());
+            reportMeasurement("restart", awaitConvergence());
         }
         if (plays.contains("tenth")) {
-            begin();
+            startMeasurement();
             List<SimulatedNetwork.Process> tenth =
                     IntStream.range(0, size / 10)
-                            .mapToObj(i -> world.processes.get(3 + i * (size - 3) / (size / 10)))
+                            .mapToObj(i -> network.processes.get(3 + i * (size - 3) / (size / 10)))
                             .toList();
             tenth.forEach(SimulatedNetwork.Process::kill);
             tenth.forEach(SimulatedNetwork.Process::start);
-            end("tenth", settle());
+            reportMeasurement("tenth", awaitConvergence());
         }
         if (plays.contains("zone")) {
-            begin();
-            zone(4).forEach(SimulatedNetwork.Process::kill);
-            end("zone_lost", settle());
-            begin();
-            zone(4).forEach(SimulatedNetwork.Process::start);
-            end("zone_back", settle());
+            startMeasurement();
+            processesInZone(4).forEach(SimulatedNetwork.Process::kill);
+            reportMeasurement("zone_lost", awaitConvergence());
+            startMeasurement();
+            processesInZone(4).forEach(SimulatedNetwork.Process::start);
+            reportMeasurement("zone_back", awaitConvergence());
         }
         if (plays.contains("regions")) {
-            cut("regions_apart", "regions_healed", this::first);
+            partition("regions_apart", "regions_healed", this::isInFirstRegion);
         }
         if (plays.contains("halves")) {
-            cut("halves_apart", "halves_healed", process -> size(process) % 2 == 0);
+            partition("halves_apart", "halves_healed", process -> size(process) % 2 == 0);
         }
-        loss(plays, 0.05, "loss5");
-        loss(plays, 0.2, "loss20");
+        loseMessages(plays, 0.05, "loss5");
+        loseMessages(plays, 0.2, "loss20");
     }
 
-    private void cut(String name, String healing, Predicate<SimulatedNetwork.Process> side) {
-        begin();
-        for (SimulatedNetwork.Process a : world.processes) {
-            for (SimulatedNetwork.Process b : world.processes) {
-                if (side.test(a) != side.test(b)) {
-                    world.cut(a, b);
+    private void partition(
+            String name, String healedName, Predicate<SimulatedNetwork.Process> side) {
+        startMeasurement();
+        for (SimulatedNetwork.Process sender : network.processes) {
+            for (SimulatedNetwork.Process receiver : network.processes) {
+                if (side.test(sender) != side.test(receiver)) {
+                    network.block(sender, receiver);
                 }
             }
         }
-        double took = settle();
-        if (took < 20) {
-            steps(20 - took);
+        double tookSeconds = awaitConvergence();
+        if (tookSeconds < 20) {
+            runInSteps(20 - tookSeconds);
         }
-        end(name, took);
-        begin();
-        world.heal();
-        end(healing, settle());
+        reportMeasurement(name, tookSeconds);
+        startMeasurement();
+        network.heal();
+        reportMeasurement(healedName, awaitConvergence());
     }
 
-    private void loss(Set<String> plays, double share, String name) {
+    private void loseMessages(Set<String> plays, double share, String name) {
         if (plays.contains(name)) {
-            world.run(5);
-            begin();
-            world.loss = share;
-            steps(15);
-            world.loss = 0;
-            end(name, 0);
-            settle();
+            network.run(5);
+            startMeasurement();
+            network.lossRate = share;
+            runInSteps(15);
+            network.lossRate = 0;
+            reportMeasurement(name, 0);
+            awaitConvergence();
         }
     }
 
-    private void begin() {
-        from = world.now;
-        world.processes.forEach(
+    private void startMeasurement() {
+        startedAt = network.now;
+        network.processes.forEach(
                 process -> {
-                    process.sent.restart();
-                    process.read.restart();
+                    process.outgoing.reset();
+                    process.incoming.reset();
                 });
     }
 
-    private void steps(double seconds) {
-        for (double until = world.now + seconds; world.now < until; ) {
-            world.run(Math.min(STEP_S, until - world.now));
+    private void runInSteps(double seconds) {
+        for (double until = network.now + seconds; network.now < until; ) {
+            network.run(Math.min(STEP_SECONDS, until - network.now));
         }
     }
 
-    private double settle() {
-        double begun = world.now;
-        while (world.now - begun < MOST_S) {
-            world.run(STEP_S);
-            if (agreed()) {
-                return world.now - begun;
+    private double awaitConvergence() {
+        double waitingSince = network.now;
+        while (network.now - waitingSince < MAX_CONVERGENCE_SECONDS) {
+            network.run(STEP_SECONDS);
+            if (hasConverged()) {
+                return network.now - waitingSince;
             }
         }
         return Double.NaN;
     }
 
     /**
-     * All that run and hear each other hold one digest, call themselves settled and know just
-     * those.
+     * Whether all running members that reach each other have the same digest, have converged and
+     * know just each other.
      */
-    private boolean agreed() {
-        Map<String, Long> digests = new HashMap<>();
-        Map<String, Long> present = new HashMap<>();
-        for (SimulatedNetwork.Process process : world.processes) {
-            if (!process.runs()) {
+    private boolean hasConverged() {
+        Map<String, Long> digestBySide = new HashMap<>();
+        Map<String, Long> presentBySide = new HashMap<>();
+        for (SimulatedNetwork.Process process : network.processes) {
+            if (!process.isRunning()) {
                 continue;
             }
-            MembershipSnapshot seen = process.seen;
-            if (seen == null || !seen.converged()) {
+            MembershipSnapshot snapshot = process.lastSnapshot;
+            if (snapshot == null || !snapshot.converged()) {
                 return false;
             }
             String side =
                     String.valueOf(
-                            world.cuts.getOrDefault(process.address, Set.of()).size()
-                                    + (world.cuts.isEmpty()
+                            network.blockedAddresses.getOrDefault(process.address, Set.of()).size()
+                                    + (network.blockedAddresses.isEmpty()
                                             ? ""
-                                            : apart(process, world.processes.get(0)) ? "b" : "a"));
-            Long digest = digests.putIfAbsent(side, seen.digest());
-            if (digest != null && digest != seen.digest()) {
+                                            : isBlocked(process, network.processes.get(0))
+                                                    ? "b"
+                                                    : "a"));
+            Long digest = digestBySide.putIfAbsent(side, snapshot.digest());
+            if (digest != null && digest != snapshot.digest()) {
                 return false;
             }
-            long heard = seen.members().stream().filter(each -> each.record().isPresent()).count();
-            present.putIfAbsent(side, heard);
+            long presentCount =
+                    snapshot.members().stream().filter(each -> each.record().isPresent()).count();
+            presentBySide.putIfAbsent(side, presentCount);
         }
-        long running = world.processes.stream().filter(SimulatedNetwork.Process::runs).count();
-        return present.values().stream().mapToLong(Long::longValue).sum() == running;
+        long runningCount =
+                network.processes.stream().filter(SimulatedNetwork.Process::isRunning).count();
+        return presentBySide.values().stream().mapToLong(Long::longValue).sum() == runningCount;
     }
 
-    private void end(String play, double settled) {
-        double seconds = Math.max(STEP_S, world.now - from);
+    private void reportMeasurement(String play, double convergenceSeconds) {
+        double seconds = Math.max(STEP_SECONDS, network.now - startedAt);
         List<SimulatedNetwork.Process> running =
-                world.processes.stream().filter(SimulatedNetwork.Process::runs).toList();
-        add(play, "bytes_out", "B/s", running, p -> p.sent.bytes / seconds);
-        add(play, "bytes_out_worst_second", "B/s", running, p -> p.sent.worst());
-        add(play, "bytes_in", "B/s", running, p -> p.read.bytes / seconds);
-        add(play, "datagrams_out", "datagrams/s", running, p -> p.sent.datagrams / seconds);
-        if (settled != 0) {
-            sink.settled(play, size, settled);
+                network.processes.stream().filter(SimulatedNetwork.Process::isRunning).toList();
+        reportResult(play, "bytes_out", "B/s", running, p -> p.outgoing.bytes / seconds);
+        reportResult(
+                play,
+                "bytes_out_worst_second",
+                "B/s",
+                running,
+                p -> p.outgoing.maxBytesInASecond());
+        reportResult(play, "bytes_in", "B/s", running, p -> p.incoming.bytes / seconds);
+        reportResult(
+                play, "datagrams_out", "datagrams/s", running, p -> p.outgoing.datagrams / seconds);
+        if (convergenceSeconds != 0) {
+            listener.onConverged(play, size, convergenceSeconds);
         }
     }
 
-    private void add(
+    private void reportResult(
             String play,
             String figure,
             String unit,
-            List<SimulatedNetwork.Process> all,
+            List<SimulatedNetwork.Process> running,
             ToDoubleFunction<SimulatedNetwork.Process> value) {
-        double[] values = all.stream().mapToDouble(value).sorted().toArray();
-        double most = values[values.length - 1];
-        sink.add(play, size, figure, unit, values[values.length / 2], most, values.length);
+        double[] values = running.stream().mapToDouble(value).sorted().toArray();
+        double worst = values[values.length - 1];
+        listener.onResult(
+                play, size, figure, unit, values[values.length / 2], worst, values.length);
     }
 }
--- a/src/test/java/junipercourse/fleet/membership/VirtualScaleRun.java
+++ b/src/test/java/junipercourse/fleet/membership/VirtualScaleRun.java
@@ -11,9 +11,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * The plays of the scale run under the virtual clock, one core, no sockets. A long run, not part of
- * the build: {@code mvn -o -q -B -ntp test -Dtest=VirtualScaleRun -Dscale.out=FILE}, with {@code
- * -Dscale.sizes}, {@code -Dscale.seeds}, {@code -Dscale.plays} and {@code -Dscale.variant}.
+ * The scenarios of the scale run under the virtual clock, one core, no sockets. A long run, not
+ * part of the build: {@code mvn -o -q -B -ntp test -Dtest=VirtualScaleRun -Dscale.out=FILE}, with
+ * {@code -Dscale.sizes}, {@code -Dscale.seeds}, {@code -Dscale.plays} and {@code -Dscale.variant}.
  */
 class VirtualScaleRun {
     private static final String ALL = "calm,kill,tenth,zone,regions,halves,loss5,loss20";
@@ -24,7 +24,8 @@
         String variant = System.getProperty("scale.variant", "landed");
         Set<String> plays =
                 Set.copyOf(Arrays.asList(System.getProperty("scale.plays", ALL).split(",")));
-        MembershipSettings settings = new Bounds().fleetName("hobart".length()).settings();
+        MembershipSettings settings =
+                new MembershipSettingsBuilder().fleetNameLength("hobart".length()).build();
         long[] seeds =
                 Arrays.stream(System.getProperty("scale.seeds", "1").split(","))
                         .mapToLong(Long::parseLong)
@@ -40,10 +41,10 @@
         assertTrue(Files.size(out) > 0, () -> "seeds " + LongStream.of(seeds).boxed().toList());
     }
 
-    private static VirtualScale.Sink sink(ResultWriter results) {
-        return new VirtualScale.Sink() {
+    private static VirtualScale.ResultListener sink(ResultWriter results) {
+        return new VirtualScale.ResultListener() {
             @Override
-            public void add(
+            public void onResult(
                     String play,
                     int size,
                     String figure,
@@ -55,17 +56,17 @@
             }
 
             @Override
-            public void settled(String play, int size, double seconds) {
+            public void onConverged(String play, int size, double seconds) {
                 if (Double.isNaN(seconds)) {
                     results.addInvalid(
                             play,
                             size,
                             "settled",
                             "s",
-                            VirtualScale.MOST_S,
-                            VirtualScale.MOST_S,
+                            VirtualScale.MAX_CONVERGENCE_SECONDS,
+                            VirtualScale.MAX_CONVERGENCE_SECONDS,
                             1,
-                            "not settled within " + VirtualScale.MOST_S + " s");
+                            "not settled within " + VirtualScale.MAX_CONVERGENCE_SECONDS + " s");
                 } else {
                     results.add(play, size, "settled", "s", seconds, seconds, 1);
                 }
