--- /dev/null
+++ b/src/test/java/junipercourse/decision/RecoveryAfterTroubleTest.java
@@ -0,0 +1,102 @@
+package junipercourse.decision;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** A dispatcher must serve again once a trouble is over, whatever it has learned meanwhile. */
+class RecoveryAfterTroubleTest {
+    private static final int DISPATCHERS = 2;
+    private static final int ENGINES = 6;
+    private static final double WARM_UP_SECONDS = 10;
+    private static final double QUIET_SECONDS = 20;
+    private static final double MEASURED_SECONDS = 10;
+    private static final double MIN_SERVED_SHARE = 0.95;
+
+    /** Troubles that make every engine look loaded. */
+    private enum LoadTrouble {
+        /** Each engine rejects all attempts for 8 s, since others hold its sessions. */
+        ENGINES_FULL(
+                30,
+                simulation -> {
+                    simulation.setEnginesFull(true);
+                    simulation.serve(8);
+                    simulation.setEnginesFull(false);
+                }),
+        /** For one second engines report 130 times their cores as busy. */
+        REPORT_OUT_OF_RANGE(
+                2,
+                simulation -> {
+                    simulation.setReportOffset(130);
+                    simulation.serve(1);
+                    simulation.setReportOffset(0);
+                });
+
+        private final double requestsPerSecond;
+        private final Consumer<ServingSimulation> trouble;
+
+        LoadTrouble(double requestsPerSecond, Consumer<ServingSimulation> trouble) {
+            this.requestsPerSecond = requestsPerSecond;
+            this.trouble = trouble;
+        }
+    }
+
+    private static ServingSimulation startServing(int engines, double requestsPerSecond) {
+        ServingSimulation simulation =
+                new ServingSimulation(DISPATCHERS, engines, requestsPerSecond);
+        simulation.listEngines();
+        double share = simulation.serve(WARM_UP_SECONDS);
+        assertTrue(share > 0.9, () -> "served before the trouble: " + share);
+        return simulation;
+    }
+
+    private static void assertServesAgain(ServingSimulation simulation) {
+        simulation.serve(QUIET_SECONDS);
+        double share = simulation.serve(MEASURED_SECONDS);
+        assertTrue(share >= MIN_SERVED_SHARE, () -> "served after the trouble: " + share);
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void servesAgainWhenEnginesAreNoLongerLoaded(LoadTrouble loadTrouble) {
+        ServingSimulation simulation = startServing(ENGINES, loadTrouble.requestsPerSecond);
+        loadTrouble.trouble.accept(simulation);
+        assertServesAgain(simulation);
+    }
+
+    /** One client's estimate of its work must not close the class for the others. */
+    @Test
+    void servesAgainWhenClientsNoLongerEstimateNoWork() {
+        ServingSimulation simulation = startServing(ENGINES, 30);
+        for (int i = 0; i < 100; i++) {
+            simulation.submit(1e-10);
+        }
+        assertServesAgain(simulation);
+    }
+
+    @Test
+    void servesWhenARequestHasComeBeforeTheFirstEndpointList() {
+        ServingSimulation simulation = new ServingSimulation(DISPATCHERS, ENGINES, 30);
+        simulation.submit(ServingSimulation.WORK_SECONDS);
+        simulation.listEngines();
+        assertServesAgain(simulation);
+    }
+
+    @Test
+    void servesAgainWhenItsOnlyEngineIsNoLongerSlow() {
+        ServingSimulation simulation = startServing(1, 30);
+        simulation.setSlowdown(3);
+        simulation.serve(10);
+        simulation.setSlowdown(1);
+        simulation.pause(3);
+        assertServesAgain(simulation);
+    }
+
+    @Test
+    void servesWithoutAnyTrouble() {
+        assertServesAgain(startServing(ENGINES, 30));
+    }
+}
