Name the types that make the capacity page after what they are

Change: CapacityEstimate, CapacityModel, LinearFit, MarkdownTable, TypedNumbers, CapacityTables, TemplatePage, SampleResults, and the methods of the tables; renamed by the resolver of the compiler, nothing else changed. Measured: CapacityPageTest, which compares docs/CAPACITY.md with what these types make, passes, as do TemplatePageTest, LinearFitTest and MeasurementsTest.

--- a/src/test/java/junipercourse/scale/page/Need.java
+++ b/src/test/java/junipercourse/scale/page/CapacityEstimate.java
@@ -13,15 +13,15 @@
  * @param derivation how the value was obtained: sizes, repeated runs, fitted line
  * @param fit line through all sizes; null if there is only one
  */
-record Need(
-        How origin,
+record CapacityEstimate(
+        Origin origin,
         double value,
         String unit,
         String why,
         String derivation,
         Series series,
-        Slope fit) {
-    enum How {
+        LinearFit fit) {
+    enum Origin {
         MEASURED,
         EXTRAPOLATED,
         NONE
@@ -29,28 +29,29 @@
 
     static final String NOT_MEASURED = "not measured";
 
-    static Need none(String why, Series series) {
-        return new Need(How.NONE, Double.NaN, "", why, "", series, null);
+    static CapacityEstimate none(String why, Series series) {
+        return new CapacityEstimate(Origin.NONE, Double.NaN, "", why, "", series, null);
     }
 
     /**
      * Returns the value measured at that size if it is valid; otherwise the value extrapolated by
      * the fitted line, or the reason why there is none.
      */
-    static Need estimate(Measurements results, Series series, Statistic statistic, int size) {
+    static CapacityEstimate estimate(
+            Measurements results, Series series, Statistic statistic, int size) {
         if (series == null) {
             return none(NOT_MEASURED, null);
         }
         Map<Integer, Point> points = results.points(series);
-        Slope fit = results.fit(series, statistic);
+        LinearFit fit = results.fit(series, statistic);
         Point point = points.get(size);
         if (point != null && point.isValid()) {
-            return new Need(
-                    How.MEASURED,
+            return new CapacityEstimate(
+                    Origin.MEASURED,
                     point.value(statistic),
                     results.unit(series),
                     "",
-                    "at " + size + ", " + Cells.repeats(point.validLines()),
+                    "at " + size + ", " + MarkdownTable.repeats(point.validLines()),
                     series,
                     fit);
         }
@@ -62,7 +63,7 @@
                             .map(each -> String.valueOf(each.any().size()))
                             .findFirst()
                             .orElse(null);
-            String last =
+            String lastReason =
                     point != null
                             ? why
                             : points.values().stream()
@@ -71,7 +72,9 @@
                                     .reduce((a, b) -> b)
                                     .orElse(why);
             return none(
-                    sizes == null ? last : why + " (at " + sizes + " alone, so there is no slope)",
+                    sizes == null
+                            ? lastReason
+                            : why + " (at " + sizes + " alone, so there is no slope)",
                     series);
         }
         if (fit.valueAt(size) < 0) {
@@ -83,7 +86,7 @@
                         + " to "
                         + fit.maxSize()
                         + " by the line, "
-                        + Cells.repeats(
+                        + MarkdownTable.repeats(
                                 points.values().stream()
                                         .flatMap(each -> each.validLines().stream())
                                         .toList())
@@ -91,8 +94,8 @@
                                 ? ", a lower bound: it grows faster than a line"
                                 : "")
                         + (point == null ? "" : "; at " + size + " it " + point.invalidText());
-        return new Need(
-                How.EXTRAPOLATED,
+        return new CapacityEstimate(
+                Origin.EXTRAPOLATED,
                 fit.valueAt(size),
                 results.unit(series),
                 "",
@@ -102,20 +105,21 @@
     }
 
     boolean isKnown() {
-        return origin != How.NONE;
+        return origin != Origin.NONE;
     }
 
     /**
      * Returns this need with value and line converted: multiplied by a count, or in another unit.
      */
-    Need transform(DoubleUnaryOperator conversion, String newUnit, String extraDerivation) {
+    CapacityEstimate transform(
+            DoubleUnaryOperator conversion, String newUnit, String extraDerivation) {
         if (!isKnown()) {
             return this;
         }
-        Slope line =
+        LinearFit convertedFit =
                 fit == null
                         ? null
-                        : new Slope(
+                        : new LinearFit(
                                 conversion.applyAsDouble(fit.slope()),
                                 conversion.applyAsDouble(fit.intercept()),
                                 conversion.applyAsDouble(fit.residual()),
@@ -123,14 +127,14 @@
                                 fit.minSize(),
                                 fit.maxSize(),
                                 fit.sizeCount());
-        return new Need(
-                extraDerivation.isEmpty() ? origin : How.EXTRAPOLATED,
+        return new CapacityEstimate(
+                extraDerivation.isEmpty() ? origin : Origin.EXTRAPOLATED,
                 conversion.applyAsDouble(value),
                 newUnit,
                 why,
                 extraDerivation.isEmpty() ? derivation : derivation + ", " + extraDerivation,
                 series,
-                line);
+                convertedFit);
     }
 
     /** Returns the text of the cell: a number, marked if extrapolated, or why there is none. */
--- a/src/test/java/junipercourse/scale/page/Sizing.java
+++ b/src/test/java/junipercourse/scale/page/CapacityModel.java
@@ -27,7 +27,7 @@
  * @param voided why a metric is invalid, by {@code suite/figure/commit}: a tool's fault that was
  *     found after the run
  */
-record Sizing(
+record CapacityModel(
         Map<String, Integer> targets,
         Map<String, String> sizes,
         List<String> variants,
@@ -65,11 +65,11 @@
     /**
      * Rejects numbers in the texts of a row or fault, which would be neither measured nor sourced.
      */
-    Sizing {
+    CapacityModel {
         for (Row row : rows) {
             for (String text :
                     List.of(row.role(), row.what(), row.text(), row.mechanism(), row.why())) {
-                List<String> typed = Prose.typedNumbers(text);
+                List<String> typed = TypedNumbers.find(text);
                 if (!typed.isEmpty()) {
                     throw new IllegalArgumentException(
                             "roles.json: "
@@ -91,7 +91,7 @@
             }
         }
         for (Fault fault : faults) {
-            if (!Prose.typedNumbers(fault.name() + " " + fault.clientImpact()).isEmpty()) {
+            if (!TypedNumbers.find(fault.name() + " " + fault.clientImpact()).isEmpty()) {
                 throw new IllegalArgumentException(
                         "roles.json: typed number in fault " + fault.name());
             }
@@ -103,13 +103,13 @@
         }
     }
 
-    static Sizing read(Path file) throws IOException {
+    static CapacityModel read(Path file) throws IOException {
         return read(Files.readString(file));
     }
 
-    static Sizing read(String text) {
+    static CapacityModel read(String text) {
         JsonObject all = Json.parse(text).asObject();
-        return new Sizing(
+        return new CapacityModel(
                 map(all, "targets", JsonValue::asInt),
                 map(all, "sizes", JsonValue::asString),
                 list(all, "variants", JsonValue::asString),
@@ -124,7 +124,7 @@
                                     stringField(budget, "unit"),
                                     stringField(budget, "source"));
                         }),
-                list(all, "rows", Sizing::row),
+                list(all, "rows", CapacityModel::row),
                 list(
                         all,
                         "faults",
@@ -225,16 +225,17 @@
      * measured"; a metric or scenario that its results lack is rejected, since a misspelt name
      * would go unnoticed otherwise.
      */
-    Need need(Measurements results, Ref ref) {
+    CapacityEstimate need(Measurements results, Ref ref) {
         return need(results, ref, target(ref.suite(), ref.scenario()));
     }
 
     /** Returns the value of a metric at any size. */
-    Need need(Measurements results, Ref ref, int size) {
+    CapacityEstimate need(Measurements results, Ref ref, int size) {
         String key = ref.suite() + "/" + ref.scenario();
         if (results.hasResults(ref.suite()) && !results.hasScenario(ref.suite(), ref.scenario())) {
             if (notRun.containsKey(key)) {
-                return Need.none(Need.NOT_MEASURED + ": " + notRun.get(key), null);
+                return CapacityEstimate.none(
+                        CapacityEstimate.NOT_MEASURED + ": " + notRun.get(key), null);
             }
             throw new IllegalArgumentException(
                     "the results of "
@@ -245,14 +246,14 @@
         }
         String left = results.noValidResultText(ref.suite(), ref.scenario());
         if (!left.isEmpty()) {
-            return Need.none(left, null);
+            return CapacityEstimate.none(left, null);
         }
         if (results.hasResults(ref.suite()) && !results.hasResults(ref.suite(), ref.metric())) {
             throw new IllegalArgumentException(
                     "the results of " + ref.suite() + " hold no figure " + ref.metric());
         }
-        Need need =
-                Need.estimate(
+        CapacityEstimate need =
+                CapacityEstimate.estimate(
                         results,
                         results.firstMeasured(variants, ref.suite(), ref.scenario(), ref.metric()),
                         ref.statistic(),
--- a/src/test/java/junipercourse/scale/page/CapacityPage.java
+++ b/src/test/java/junipercourse/scale/page/CapacityPage.java
@@ -16,15 +16,16 @@
     static final Path RESULTS = Path.of("docs/capacity");
     static final Path ROLES = RESULTS.resolve("roles.json");
 
-    static Tables tables(Path results) throws IOException {
-        Sizing sizing = Sizing.read(ROLES);
-        return new Tables(Measurements.read(results).excludeInvalid(sizing.voided()), sizing);
+    static CapacityTables tables(Path results) throws IOException {
+        CapacityModel sizing = CapacityModel.read(ROLES);
+        return new CapacityTables(
+                Measurements.read(results).excludeInvalid(sizing.voided()), sizing);
     }
 
     @Test
     void write() throws IOException {
         String results = System.getProperty("capacity.results", "");
-        Page page = new Page(Files.readString(PAGE));
+        TemplatePage page = new TemplatePage(Files.readString(PAGE));
         if (Boolean.getBoolean("capacity.write") && results.isEmpty()) {
             Files.writeString(PAGE, page.generate(tables(RESULTS)));
         } else {
--- a/src/test/java/junipercourse/scale/page/CapacityPageTest.java
+++ b/src/test/java/junipercourse/scale/page/CapacityPageTest.java
@@ -18,7 +18,7 @@
     void pageMatchesTheMeasuredResults() throws IOException {
         assertEquals(
                 List.of(),
-                new Page(Files.readString(CapacityPage.PAGE))
+                new TemplatePage(Files.readString(CapacityPage.PAGE))
                         .faults(CapacityPage.tables(CapacityPage.RESULTS)));
     }
 
@@ -26,7 +26,7 @@
     @Test
     void everyMechanismNamesAnExistingPackageOrClass() throws IOException {
         List<String> missing =
-                Sizing.read(CapacityPage.ROLES).rows().stream()
+                CapacityModel.read(CapacityPage.ROLES).rows().stream()
                         .flatMap(
                                 row ->
                                         NAME.matcher(row.mechanism())
--- a/src/test/java/junipercourse/scale/page/Tables.java
+++ b/src/test/java/junipercourse/scale/page/CapacityTables.java
@@ -8,20 +8,20 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
+import junipercourse.scale.page.CapacityModel.Fault;
+import junipercourse.scale.page.CapacityModel.Ref;
 import junipercourse.scale.page.Measurements.Point;
 import junipercourse.scale.page.Series.Statistic;
-import junipercourse.scale.page.Sizing.Fault;
-import junipercourse.scale.page.Sizing.Ref;
 
 /** Creates the page's tables and inline values by the names of their markers. */
-final class Tables {
+final class CapacityTables {
     private static final double MAX_RELATIVE_DIFFERENCE = 0.2;
-    private static final String NOT_MEASURED = Need.NOT_MEASURED + "\n";
+    private static final String NOT_MEASURED = CapacityEstimate.NOT_MEASURED + "\n";
     private final Measurements results;
-    private final Sizing sizing;
+    private final CapacityModel sizing;
     private final RoleRows roles;
 
-    Tables(Measurements results, Sizing sizing) {
+    CapacityTables(Measurements results, CapacityModel sizing) {
         this.results = results;
         this.sizing = sizing;
         roles = new RoleRows(results, sizing);
@@ -34,20 +34,20 @@
         String[] words = name.split(" ");
         String key = words[0] + " " + words.length;
         return switch (key) {
-            case "runs 1" -> runs();
+            case "runs 1" -> runsTable();
             case "roles 1" -> roles.table();
             case "missing 1" -> roles.missing();
-            case "faults 1" -> faults();
-            case "witness 1" -> witness();
-            case "suite 2" -> suite(words[1], each -> true);
-            case "suite 3" -> plays(words[1], words[2]);
-            case "fleet 2", "world 2" -> figure(words[0], words[1]);
+            case "faults 1" -> faultsTable();
+            case "witness 1" -> comparisonTable();
+            case "suite 2" -> suiteTable(words[1], each -> true);
+            case "suite 3" -> scenarioTable(words[1], words[2]);
+            case "fleet 2", "world 2" -> metricTable(words[0], words[1]);
             default -> throw new IllegalArgumentException("no table is named " + name);
         };
     }
 
     /** Lists the runs that the results come from. */
-    private String runs() {
+    private String runsTable() {
         StringBuilder table = new StringBuilder();
         for (String suite : ResultLine.SUITES) {
             for (String variant : results.distinct(suite, ResultLine::variant)) {
@@ -58,9 +58,9 @@
                                                 line.suite().equals(suite)
                                                         && line.variant().equals(variant))
                                 .toList();
-                long not = lines.stream().filter(line -> !line.isValid()).count();
+                long invalidCount = lines.stream().filter(line -> !line.isValid()).count();
                 table.append(
-                        Cells.row(
+                        MarkdownTable.row(
                                 suite,
                                 variant,
                                 joinDistinct(lines.stream().map(ResultLine::day)),
@@ -69,12 +69,12 @@
                                 joinDistinct(
                                         lines.stream().map(line -> String.valueOf(line.seed()))),
                                 String.valueOf(lines.size()),
-                                String.valueOf(not)));
+                                String.valueOf(invalidCount)));
             }
         }
         return table.isEmpty()
                 ? NOT_MEASURED
-                : Cells.head(
+                : MarkdownTable.head(
                                 "suite",
                                 "variant",
                                 "day",
@@ -94,30 +94,32 @@
      * Shows one metric of a suite: a row for each scenario and variant, with the variants in
      * adjacent rows, and a column for each size.
      */
-    private String figure(String suite, String figure) {
+    private String metricTable(String suite, String metric) {
         if (!results.hasResults(suite)) {
             return NOT_MEASURED;
         }
         Predicate<Series> wanted =
-                figure.endsWith("*")
-                        ? each -> each.metric().startsWith(figure.substring(0, figure.length() - 1))
-                        : each -> each.metric().equals(figure);
+                metric.endsWith("*")
+                        ? each -> each.metric().startsWith(metric.substring(0, metric.length() - 1))
+                        : each -> each.metric().equals(metric);
         if (results.series(suite).stream().noneMatch(wanted)) {
             throw new IllegalArgumentException(
-                    "the results of " + suite + " hold no figure " + figure);
+                    "the results of " + suite + " hold no figure " + metric);
         }
-        return suite(suite, wanted);
+        return suiteTable(suite, wanted);
     }
 
-    private String plays(String suite, String play) {
+    private String scenarioTable(String suite, String scenario) {
         if (results.hasResults(suite)
-                && results.series(suite).stream().noneMatch(each -> each.scenario().equals(play))) {
-            throw new IllegalArgumentException("the results of " + suite + " hold no play " + play);
+                && results.series(suite).stream()
+                        .noneMatch(each -> each.scenario().equals(scenario))) {
+            throw new IllegalArgumentException(
+                    "the results of " + suite + " hold no play " + scenario);
         }
-        return suite(suite, each -> each.scenario().equals(play));
+        return suiteTable(suite, each -> each.scenario().equals(scenario));
     }
 
-    private String suite(String suite, Predicate<Series> wanted) {
+    private String suiteTable(String suite, Predicate<Series> wanted) {
         if (!ResultLine.SUITES.contains(suite)) {
             throw new IllegalArgumentException("no suite is named " + suite);
         }
@@ -130,8 +132,8 @@
         List<String> head = new ArrayList<>(List.of("play", "figure", "unit", "variant"));
         sizes.forEach(size -> head.add(String.valueOf(size)));
         head.add("each more");
-        StringBuilder table = new StringBuilder(Cells.head(head));
-        for (Series each : sideBySide(all)) {
+        StringBuilder table = new StringBuilder(MarkdownTable.head(head));
+        for (Series each : orderVariants(all)) {
             List<String> row =
                     new ArrayList<>(
                             List.of(
@@ -139,15 +141,15 @@
                                     each.metric(),
                                     results.unit(each),
                                     each.variant()));
-            row.addAll(Cells.points(results.points(each), sizes));
-            row.add(Cells.fitCell(results.fit(each, Statistic.MEDIAN), results.unit(each)));
-            table.append(Cells.row(row));
+            row.addAll(MarkdownTable.points(results.points(each), sizes));
+            row.add(MarkdownTable.fitCell(results.fit(each, Statistic.MEDIAN), results.unit(each)));
+            table.append(MarkdownTable.row(row));
         }
         return table.toString();
     }
 
     /** Groups the variants of one scenario and metric, "before" ahead of "after". */
-    private static List<Series> sideBySide(Collection<Series> all) {
+    private static List<Series> orderVariants(Collection<Series> all) {
         List<Series> rows = new ArrayList<>();
         for (Series each : all) {
             if (!rows.contains(each)) {
@@ -156,32 +158,34 @@
                                 other ->
                                         other.scenario().equals(each.scenario())
                                                 && other.metric().equals(each.metric()))
-                        .sorted((a, b) -> rank(a) - rank(b))
+                        .sorted((a, b) -> variantRank(a) - variantRank(b))
                         .forEach(rows::add);
             }
         }
         return rows;
     }
 
-    private static int rank(Series each) {
+    private static int variantRank(Series each) {
         return each.variant().equals("before") ? 0 : each.variant().equals("after") ? 1 : 2;
     }
 
     /** Compares real sockets with the simulation where both were measured at the same size. */
-    private String witness() {
+    private String comparisonTable() {
         StringBuilder table = new StringBuilder();
         for (Series real : results.series("fleet")) {
             Series virtual = new Series("world", real.scenario(), real.metric(), real.variant());
-            for (Map.Entry<Integer, Point> at : results.points(real).entrySet()) {
-                Point other = results.points(virtual).get(at.getKey());
-                if (other != null && other.isValid() && at.getValue().isValid()) {
-                    table.append(comparisonRow(real, virtual, at.getKey()));
+            for (Map.Entry<Integer, Point> realPoint : results.points(real).entrySet()) {
+                Point virtualPoint = results.points(virtual).get(realPoint.getKey());
+                if (virtualPoint != null
+                        && virtualPoint.isValid()
+                        && realPoint.getValue().isValid()) {
+                    table.append(comparisonRow(real, virtual, realPoint.getKey()));
                 }
             }
         }
         return table.isEmpty()
                 ? NOT_MEASURED
-                : Cells.head(
+                : MarkdownTable.head(
                                 "play",
                                 "figure",
                                 "unit",
@@ -211,7 +215,7 @@
                         ? realValue == 0 ? "1" : "none"
                         : Units.number(realValue / virtualValue);
         String key = real.scenario() + "/" + real.metric();
-        return Cells.row(
+        return MarkdownTable.row(
                 real.scenario(),
                 real.metric(),
                 unit,
@@ -231,10 +235,10 @@
                         : "");
     }
 
-    private String faults() {
+    private String faultsTable() {
         StringBuilder table =
                 new StringBuilder(
-                        Cells.head(
+                        MarkdownTable.head(
                                 "fault",
                                 "how often (the letter)",
                                 "bytes out, worst " + "second of the worst member",
@@ -243,7 +247,7 @@
                                 "what clients see"));
         for (Fault fault : sizing.faults()) {
             table.append(
-                    Cells.row(
+                    MarkdownTable.row(
                             fault.name(),
                             fault.frequency(),
                             faultCell(fault, "bytes_out_worst_second"),
@@ -254,14 +258,16 @@
         return table.toString();
     }
 
-    private String faultCell(Fault fault, String figure) {
+    private String faultCell(Fault fault, String metric) {
         if (fault.scenario().isEmpty()) {
-            return Need.NOT_MEASURED;
+            return CapacityEstimate.NOT_MEASURED;
         }
-        Need need =
+        CapacityEstimate estimate =
                 sizing.need(
-                        results, new Ref("fleet", fault.scenario(), figure, Statistic.WORST, ""));
-        return need.isKnown() ? need.text() + " (" + need.derivation() + ")" : need.text();
+                        results, new Ref("fleet", fault.scenario(), metric, Statistic.WORST, ""));
+        return estimate.isKnown()
+                ? estimate.text() + " (" + estimate.derivation() + ")"
+                : estimate.text();
     }
 
     /**
@@ -273,7 +279,7 @@
             return Units.number(sizing.targets().get(name.substring(7)));
         }
         if (name.startsWith("least.")) {
-            return least(name.substring(6));
+            return smallestMargin(name.substring(6));
         }
         if (name.startsWith("sizes.") && ResultLine.SUITES.contains(name.substring(6))) {
             List<String> sizes =
@@ -287,7 +293,7 @@
                             .sorted()
                             .map(Units::number)
                             .toList();
-            return sizes.isEmpty() ? Need.NOT_MEASURED : String.join(", ", sizes);
+            return sizes.isEmpty() ? CapacityEstimate.NOT_MEASURED : String.join(", ", sizes);
         }
         String[] words = name.split("[/@]");
         boolean hasSize = name.contains("@");
@@ -308,18 +314,19 @@
                 .text();
     }
 
-    private String least(String what) {
+    private String smallestMargin(String what) {
         RoleRows.Answer least =
                 roles.byFactor().stream().filter(RoleRows.Answer::isKnown).findFirst().orElse(null);
         return switch (what) {
             case "role" ->
                     least == null
-                            ? Need.NOT_MEASURED
+                            ? CapacityEstimate.NOT_MEASURED
                             : least.row().role() + ", " + least.row().what();
-            case "need" -> least == null ? Need.NOT_MEASURED : least.need().text();
-            case "factor" -> least == null ? Need.NOT_MEASURED : RoleRows.factor(least);
-            case "breaks" -> least == null ? Need.NOT_MEASURED : least.limit();
-            case "mechanism" -> least == null ? Need.NOT_MEASURED : least.row().mechanism();
+            case "need" -> least == null ? CapacityEstimate.NOT_MEASURED : least.need().text();
+            case "factor" -> least == null ? CapacityEstimate.NOT_MEASURED : RoleRows.factor(least);
+            case "breaks" -> least == null ? CapacityEstimate.NOT_MEASURED : least.limit();
+            case "mechanism" ->
+                    least == null ? CapacityEstimate.NOT_MEASURED : least.row().mechanism();
             default -> throw new IllegalArgumentException("no value is named least." + what);
         };
     }
--- a/src/test/java/junipercourse/scale/page/Slope.java
+++ b/src/test/java/junipercourse/scale/page/LinearFit.java
@@ -14,7 +14,7 @@
  * @param maxSize largest size
  * @param sizeCount number of distinct sizes
  */
-record Slope(
+record LinearFit(
         double slope,
         double intercept,
         double residual,
@@ -26,7 +26,7 @@
     private static final double SUPERLINEAR_EXPONENT = 1.2;
 
     /** Fits pairs of size and value; null with fewer than two sizes. */
-    static Slope fitPoints(List<double[]> points) {
+    static LinearFit fitPoints(List<double[]> points) {
         int sizes = (int) points.stream().mapToDouble(point -> point[0]).distinct().count();
         if (sizes < 2) {
             return null;
@@ -49,7 +49,7 @@
                                                             Math.log(point[0]), Math.log(point[1])
                                                         })
                                         .toList())[0];
-        return new Slope(
+        return new LinearFit(
                 line[0],
                 line[1],
                 residual,
--- a/src/test/java/junipercourse/scale/page/SlopeTest.java
+++ b/src/test/java/junipercourse/scale/page/LinearFitTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests fits of lines and power laws to points with known parameters. */
-class SlopeTest {
+class LinearFitTest {
     private static List<double[]> points(double... flat) {
         List<double[]> points = new ArrayList<>();
         for (int i = 0; i < flat.length; i += 2) {
@@ -27,8 +27,8 @@
     @ParameterizedTest
     @CsvSource({"0, 5", "140, 0", "-3, 9000", "0.001, 2734"})
     void lineThroughExactPointsIsRecovered(double slope, double intercept) {
-        Slope fit =
-                Slope.fitPoints(
+        LinearFit fit =
+                LinearFit.fitPoints(
                         points(
                                 45,
                                 intercept + 45 * slope,
@@ -45,8 +45,8 @@
     @ParameterizedTest
     @CsvSource({"0, false", "0.5, false", "1, false", "1.5, true", "2, true"})
     void exponentOfAPowerLawIsRecovered(double exponent, boolean superlinear) {
-        Slope fit =
-                Slope.fitPoints(
+        LinearFit fit =
+                LinearFit.fitPoints(
                         points(
                                 45,
                                 3 * Math.pow(45, exponent),
@@ -64,7 +64,7 @@
      */
     @Test
     void residualHasTwoFewerDegreesOfFreedom() {
-        Slope fit = Slope.fitPoints(points(0, 1, 1, 2, 2, 6));
+        LinearFit fit = LinearFit.fitPoints(points(0, 1, 1, 2, 2, 6));
         assertEquals(2.5, fit.slope(), 1e-12);
         assertEquals(0.5, fit.intercept(), 1e-12);
         assertEquals(Math.sqrt(1.5), fit.residual(), 1e-12);
@@ -72,22 +72,22 @@
 
     @Test
     void pointsOfASingleSizeGiveNoFit() {
-        assertNull(Slope.fitPoints(points()));
-        assertNull(Slope.fitPoints(points(45, 1)));
-        assertNull(Slope.fitPoints(points(45, 1, 45, 2, 45, 3)));
+        assertNull(LinearFit.fitPoints(points()));
+        assertNull(LinearFit.fitPoints(points(45, 1)));
+        assertNull(LinearFit.fitPoints(points(45, 1, 45, 2, 45, 3)));
     }
 
     @Test
     void twoPointsGiveNoResidualAndZeroValuesNoExponent() {
-        assertTrue(Double.isNaN(Slope.fitPoints(points(45, 1, 90, 2)).residual()));
-        assertTrue(Double.isNaN(Slope.fitPoints(points(45, 0, 90, 2, 180, 3)).exponent()));
+        assertTrue(Double.isNaN(LinearFit.fitPoints(points(45, 1, 90, 2)).residual()));
+        assertTrue(Double.isNaN(LinearFit.fitPoints(points(45, 0, 90, 2, 180, 3)).exponent()));
     }
 
     @Test
     void sizeAtValueIsNaNUnlessTheLineRises() {
-        assertEquals(60, Slope.fitPoints(points(10, 100, 20, 200)).sizeAtValue(600), 1e-9);
-        assertTrue(Double.isNaN(Slope.fitPoints(points(10, 100, 20, 100)).sizeAtValue(600)));
-        assertTrue(Double.isNaN(Slope.fitPoints(points(10, 200, 20, 100)).sizeAtValue(600)));
+        assertEquals(60, LinearFit.fitPoints(points(10, 100, 20, 200)).sizeAtValue(600), 1e-9);
+        assertTrue(Double.isNaN(LinearFit.fitPoints(points(10, 100, 20, 100)).sizeAtValue(600)));
+        assertTrue(Double.isNaN(LinearFit.fitPoints(points(10, 200, 20, 100)).sizeAtValue(600)));
     }
 
     /** No other line has a smaller sum of squares; the line goes through the mean. */
@@ -98,7 +98,7 @@
         for (int i = 1 + random.nextInt(8); i >= 0; i--) {
             points.add(new double[] {46 + random.nextInt(700), 1000 * random.nextGaussian()});
         }
-        Slope fit = Slope.fitPoints(points);
+        LinearFit fit = LinearFit.fitPoints(points);
         double least = squaredError(points, fit.slope(), fit.intercept());
         for (int i = 0; i < 20; i++) {
             double other =
--- a/src/test/java/junipercourse/scale/page/Cells.java
+++ b/src/test/java/junipercourse/scale/page/MarkdownTable.java
@@ -9,8 +9,8 @@
 import junipercourse.scale.page.Series.Statistic;
 
 /** Formats the cells and rows of Markdown tables. */
-final class Cells {
-    private Cells() {}
+final class MarkdownTable {
+    private MarkdownTable() {}
 
     static String row(String... cells) {
         return row(Arrays.asList(cells));
@@ -79,7 +79,7 @@
     /**
      * Formats the cost of one more unit of size, the residual and the exponent of the power law.
      */
-    static String fitCell(Slope fit, String unit) {
+    static String fitCell(LinearFit fit, String unit) {
         if (fit == null) {
             return "none: one size or less";
         }
--- a/src/test/java/junipercourse/scale/page/Measurements.java
+++ b/src/test/java/junipercourse/scale/page/Measurements.java
@@ -178,7 +178,7 @@
     }
 
     /** Fits a line to all valid lines of a series; null with fewer than two sizes. */
-    Slope fit(Series key, Statistic statistic) {
+    LinearFit fit(Series key, Statistic statistic) {
         List<double[]> all = new ArrayList<>();
         points(key)
                 .forEach(
@@ -190,7 +190,7 @@
                                                                 new double[] {
                                                                     size, statistic.of(line)
                                                                 })));
-        return Slope.fitPoints(all);
+        return LinearFit.fitPoints(all);
     }
 
     /** The results of a series at one size: the valid and the invalid repeated runs. */
--- a/src/test/java/junipercourse/scale/page/MeasurementsTest.java
+++ b/src/test/java/junipercourse/scale/page/MeasurementsTest.java
@@ -76,17 +76,18 @@
         Point point =
                 new Measurements(
                                 List.of(
-                                        Samples.line(45, 1, 10, 15, ""),
-                                        Samples.line(45, 2, 30, 31, ""),
-                                        Samples.line(45, 3, 14, 99, ""),
-                                        Samples.line(45, 4, 1, 1, "cut short")))
+                                        SampleResults.line(45, 1, 10, 15, ""),
+                                        SampleResults.line(45, 2, 30, 31, ""),
+                                        SampleResults.line(45, 3, 14, 99, ""),
+                                        SampleResults.line(45, 4, 1, 1, "cut short")))
                         .points(CALM)
                         .get(45);
         assertEquals(14, point.value(Statistic.MEDIAN));
         assertEquals(99, point.value(Statistic.WORST));
         assertEquals(
-                "14 (10 to 30), worst 99; 1 more did not count: cut short", Cells.point(point));
-        assertEquals("3 seeds", Cells.repeats(point.validLines()));
+                "14 (10 to 30), worst 99; 1 more did not count: cut short",
+                MarkdownTable.point(point));
+        assertEquals("3 seeds", MarkdownTable.repeats(point.validLines()));
     }
 
     @Test
@@ -94,15 +95,15 @@
         Measurements results =
                 new Measurements(
                         List.of(
-                                Samples.line(45, 1, 77777, 88888, "processor full"),
-                                Samples.line(90, 1, 77777, 88888, "cut short")));
+                                SampleResults.line(45, 1, 77777, 88888, "processor full"),
+                                SampleResults.line(90, 1, 77777, 88888, "cut short")));
         Point point = results.points(CALM).get(45);
         assertThrows(IllegalStateException.class, () -> point.value(Statistic.MEDIAN));
-        assertEquals("did not count: processor full", Cells.point(point));
+        assertEquals("did not count: processor full", MarkdownTable.point(point));
         assertEquals(null, results.fit(CALM, Statistic.MEDIAN));
-        Need need = Need.estimate(results, CALM, Statistic.MEDIAN, 45);
+        CapacityEstimate need = CapacityEstimate.estimate(results, CALM, Statistic.MEDIAN, 45);
         assertEquals("did not count: processor full", need.text());
-        assertEquals(Need.How.NONE, need.origin());
+        assertEquals(CapacityEstimate.Origin.NONE, need.origin());
     }
 
     @Test
@@ -113,7 +114,7 @@
                 new Measurements(List.of(calm)).excludeInvalid(Map.of(key, "the meter was wrong"));
         assertEquals(
                 "did not count: the meter was wrong",
-                Cells.point(voided.points(Series.of(calm)).get(calm.size())));
+                MarkdownTable.point(voided.points(Series.of(calm)).get(calm.size())));
         Measurements other =
                 new Measurements(List.of(calm)).excludeInvalid(Map.of("fleet/other/x", "no such"));
         assertEquals(calm.isValid(), other.lines().get(0).isValid());
@@ -135,12 +136,14 @@
         Measurements results =
                 new Measurements(
                         List.of(
-                                Samples.line(45, 1, 100, 100, ""),
-                                Samples.line(90, 1, 200, 200, ""),
-                                Samples.line(720, 1, 500, 500, "")));
-        assertEquals("500 B/s", Need.estimate(results, CALM, Statistic.MEDIAN, 720).text());
+                                SampleResults.line(45, 1, 100, 100, ""),
+                                SampleResults.line(90, 1, 200, 200, ""),
+                                SampleResults.line(720, 1, 500, 500, "")));
         assertEquals(
-                "at 720, 1 seed", Need.estimate(results, CALM, Statistic.MEDIAN, 720).derivation());
+                "500 B/s", CapacityEstimate.estimate(results, CALM, Statistic.MEDIAN, 720).text());
+        assertEquals(
+                "at 720, 1 seed",
+                CapacityEstimate.estimate(results, CALM, Statistic.MEDIAN, 720).derivation());
     }
 
     @Test
@@ -148,12 +151,12 @@
         Measurements results =
                 new Measurements(
                         List.of(
-                                Samples.line(45, 1, 145, 0, ""),
-                                Samples.line(45, 2, 145, 0, ""),
-                                Samples.line(90, 1, 190, 0, ""),
-                                Samples.line(90, 2, 190, 0, ""),
-                                Samples.line(720, 1, 9, 9, "processor full")));
-        Need need = Need.estimate(results, CALM, Statistic.MEDIAN, 720);
+                                SampleResults.line(45, 1, 145, 0, ""),
+                                SampleResults.line(45, 2, 145, 0, ""),
+                                SampleResults.line(90, 1, 190, 0, ""),
+                                SampleResults.line(90, 2, 190, 0, ""),
+                                SampleResults.line(720, 1, 9, 9, "processor full")));
+        CapacityEstimate need = CapacityEstimate.estimate(results, CALM, Statistic.MEDIAN, 720);
         assertEquals("*reckoned* 820 B/s", need.text());
         assertEquals(
                 "from 45 to 90 by the line, 2 seeds; at 720 it did not count: processor full",
@@ -165,19 +168,19 @@
         Measurements one =
                 new Measurements(
                         List.of(
-                                Samples.line(45, 1, 100, 100, ""),
-                                Samples.line(45, 2, 120, 120, "")));
+                                SampleResults.line(45, 1, 100, 100, ""),
+                                SampleResults.line(45, 2, 120, 120, "")));
         assertEquals(
                 "not measured (at 45 alone, so there is no slope)",
-                Need.estimate(one, CALM, Statistic.MEDIAN, 720).text());
+                CapacityEstimate.estimate(one, CALM, Statistic.MEDIAN, 720).text());
         Measurements falling =
                 new Measurements(
                         List.of(
-                                Samples.line(45, 1, 100, 100, ""),
-                                Samples.line(90, 1, 50, 50, "")));
+                                SampleResults.line(45, 1, 100, 100, ""),
+                                SampleResults.line(90, 1, 50, 50, "")));
         assertEquals(
                 "not measured (the line is below zero there)",
-                Need.estimate(falling, CALM, Statistic.MEDIAN, 720).text());
+                CapacityEstimate.estimate(falling, CALM, Statistic.MEDIAN, 720).text());
     }
 
     @ParameterizedTest
--- a/src/test/java/junipercourse/scale/page/RoleRows.java
+++ b/src/test/java/junipercourse/scale/page/RoleRows.java
@@ -3,15 +3,15 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import junipercourse.scale.page.Sizing.Budget;
-import junipercourse.scale.page.Sizing.Row;
+import junipercourse.scale.page.CapacityModel.Budget;
+import junipercourse.scale.page.CapacityModel.Row;
 
 /** Compares the need of each role at the target size with its budget. */
 final class RoleRows {
     private final Measurements results;
-    private final Sizing sizing;
+    private final CapacityModel sizing;
 
-    RoleRows(Measurements results, Sizing sizing) {
+    RoleRows(Measurements results, CapacityModel sizing) {
         this.results = results;
         this.sizing = sizing;
     }
@@ -21,7 +21,7 @@
      *
      * @param factor budget divided by need; NaN if one of the two is unknown
      */
-    record Answer(Row row, Need need, Budget budget, double factor, String limit) {
+    record Answer(Row row, CapacityEstimate need, Budget budget, double factor, String limit) {
         boolean isKnown() {
             return !Double.isNaN(factor);
         }
@@ -50,21 +50,21 @@
         if (row.ref() == null) {
             return new Answer(
                     row,
-                    Need.none(
+                    CapacityEstimate.none(
                             row.why().isEmpty()
-                                    ? Need.NOT_MEASURED
-                                    : Need.NOT_MEASURED + ": " + row.why(),
+                                    ? CapacityEstimate.NOT_MEASURED
+                                    : CapacityEstimate.NOT_MEASURED + ": " + row.why(),
                             null),
                     budget,
                     Double.NaN,
                     "");
         }
-        Need need = sizing.need(results, row.ref());
+        CapacityEstimate need = sizing.need(results, row.ref());
         if (budget == null || !need.isKnown()) {
             return new Answer(row, need, budget, Double.NaN, "");
         }
         String unit = need.unit();
-        Need converted =
+        CapacityEstimate converted =
                 need.transform(
                         value -> Units.convert(value, unit, budget.unit()), budget.unit(), "");
         String counted = sizing.sizeUnit(row.ref().suite(), row.ref().scenario());
@@ -78,7 +78,7 @@
                 limitText(converted, budget, counted));
     }
 
-    private static String limitText(Need need, Budget budget, String counted) {
+    private static String limitText(CapacityEstimate need, Budget budget, String counted) {
         if (need.fit() == null) {
             return "not reckoned: one size";
         }
@@ -99,7 +99,7 @@
     String table() {
         StringBuilder table =
                 new StringBuilder(
-                        Cells.head(
+                        MarkdownTable.head(
                                 "role",
                                 "what",
                                 "need at the size",
@@ -110,7 +110,7 @@
                                 "factor left",
                                 "breaks at"));
         for (Answer each : all()) {
-            Need need = each.need();
+            CapacityEstimate need = each.need();
             String text =
                     each.row().ref() == null && !each.row().text().isEmpty()
                             ? each.row().text()
@@ -118,12 +118,12 @@
                                     ? need.text()
                                     : each.row().text() + ": " + need.text();
             table.append(
-                    Cells.row(
+                    MarkdownTable.row(
                             each.row().role(),
                             each.row().what(),
                             text,
                             need.series() == null ? "" : need.series() + " " + need.derivation(),
-                            need.isKnown() ? Cells.fitCell(need.fit(), need.unit()) : "",
+                            need.isKnown() ? MarkdownTable.fitCell(need.fit(), need.unit()) : "",
                             each.row().mechanism(),
                             budget(each),
                             factor(each),
@@ -135,7 +135,7 @@
     String missing() {
         StringBuilder table =
                 new StringBuilder(
-                        Cells.head(
+                        MarkdownTable.head(
                                 "order",
                                 "role",
                                 "what",
@@ -147,7 +147,7 @@
         int order = 0;
         for (Answer each : byFactor()) {
             table.append(
-                    Cells.row(
+                    MarkdownTable.row(
                             each.isKnown() ? String.valueOf(++order) : "",
                             each.row().role(),
                             each.row().what(),
@@ -162,7 +162,7 @@
 
     static String factor(Answer each) {
         if (!each.isKnown()) {
-            return each.budget() == null ? "" : Need.NOT_MEASURED;
+            return each.budget() == null ? "" : CapacityEstimate.NOT_MEASURED;
         }
         String text =
                 Double.isInfinite(each.factor()) ? "needs nothing" : Units.number(each.factor());
--- a/src/test/java/junipercourse/scale/page/Samples.java
+++ b/src/test/java/junipercourse/scale/page/SampleResults.java
@@ -7,25 +7,25 @@
 import java.util.stream.Stream;
 
 /** Invented results for tests; no page shows them. */
-final class Samples {
+final class SampleResults {
     private static final Path FOLDER = Path.of("src/test/resources/capacity");
 
-    private Samples() {}
+    private SampleResults() {}
 
-    static Tables tables() throws IOException {
+    static CapacityTables tables() throws IOException {
         return tables(lines());
     }
 
-    static Tables tables(List<ResultLine> lines) throws IOException {
-        return new Tables(new Measurements(lines), sizing());
+    static CapacityTables tables(List<ResultLine> lines) throws IOException {
+        return new CapacityTables(new Measurements(lines), sizing());
     }
 
     static List<ResultLine> lines() throws IOException {
         return Measurements.read(FOLDER).lines();
     }
 
-    static Sizing sizing() throws IOException {
-        return Sizing.read(FOLDER.resolve("sample-roles.json"));
+    static CapacityModel sizing() throws IOException {
+        return CapacityModel.read(FOLDER.resolve("sample-roles.json"));
     }
 
     static String rolesText() throws IOException {
--- a/src/test/java/junipercourse/scale/page/Page.java
+++ b/src/test/java/junipercourse/scale/page/TemplatePage.java
@@ -13,7 +13,7 @@
  * <!--=NAME-->} to {@code <!--/-->} are generated; {@code <!-- stated SOURCE -->} to {@code <!--
  * end -->} encloses numbers that were stated, not measured.
  */
-final class Page {
+final class TemplatePage {
     /**
      * Allowed sources of stated numbers: the operators' letter, and defaults in code or settings.
      */
@@ -27,7 +27,7 @@
     private static final Pattern MARKER = Pattern.compile("<!--.*?-->");
     private final String text;
 
-    Page(String text) {
+    TemplatePage(String text) {
         this.text = text;
     }
 
@@ -35,7 +35,7 @@
      * Fills the markers from the results; fails if a marker's end is missing or its name is
      * unknown.
      */
-    String generate(Tables tables) {
+    String generate(CapacityTables tables) {
         for (MatchResult found : TABLE.matcher(text).results().toList()) {
             if (MARKER.matcher(found.group(3)).find()) {
                 throw new IllegalArgumentException(
@@ -56,7 +56,7 @@
     }
 
     /** Returns all differences between page and results and all misplaced markers and numbers. */
-    List<String> faults(Tables tables) {
+    List<String> faults(CapacityTables tables) {
         List<String> faults = new ArrayList<>();
         compare(TABLE, tables::table, "table ", faults);
         compare(INLINE, tables::inlineValue, "value ", faults);
@@ -71,11 +71,11 @@
                                 + ": a marker stands in it, or its end is missing");
             }
         }
-        String prose = prose();
+        String prose = textOutsideMarkers();
         MARKER.matcher(prose)
                 .results()
                 .forEach(found -> faults.add("stray marker " + found.group()));
-        Prose.typedNumbers(prose)
+        TypedNumbers.find(prose)
                 .forEach(number -> faults.add("typed number in the prose: " + number));
         return faults;
     }
@@ -94,11 +94,11 @@
     }
 
     /** Returns the text outside all markers. */
-    private String prose() {
-        String rest = text;
+    private String textOutsideMarkers() {
+        String remainingText = text;
         for (Pattern pattern : List.of(TABLE, STATED, INLINE)) {
-            rest = pattern.matcher(rest).replaceAll(" ");
+            remainingText = pattern.matcher(remainingText).replaceAll(" ");
         }
-        return rest;
+        return remainingText;
     }
 }
--- a/src/test/java/junipercourse/scale/page/PageTest.java
+++ b/src/test/java/junipercourse/scale/page/TemplatePageTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that a generated page has no faults and that every alteration is reported. */
-class PageTest {
+class TemplatePageTest {
     private static final String EMPTY =
             """
             # Sample
@@ -42,17 +42,17 @@
             """;
 
     private static String page() throws IOException {
-        return new Page(EMPTY).generate(Samples.tables());
+        return new TemplatePage(EMPTY).generate(SampleResults.tables());
     }
 
     private static List<String> faults(String page) throws IOException {
-        return new Page(page).faults(Samples.tables());
+        return new TemplatePage(page).faults(SampleResults.tables());
     }
 
     @Test
     void generatedPageHasNoFaultsAndIsStable() throws IOException {
         assertEquals(List.of(), faults(page()));
-        assertEquals(page(), new Page(page()).generate(Samples.tables()));
+        assertEquals(page(), new TemplatePage(page()).generate(SampleResults.tables()));
         assertTrue(
                 page().contains(
                                 "At <!--=target.members-->720<!--/--> the least is"
@@ -100,14 +100,14 @@
 
     @Test
     void removedResultIsReported() throws IOException {
-        List<ResultLine> lines = new ArrayList<>(Samples.lines());
+        List<ResultLine> lines = new ArrayList<>(SampleResults.lines());
         assertTrue(
                 lines.removeIf(
                         line ->
                                 line.scenario().equals("cut")
                                         && line.size() == 90
                                         && line.metric().equals("bytes_out")));
-        List<String> found = new Page(page()).faults(Samples.tables(lines));
+        List<String> found = new TemplatePage(page()).faults(SampleResults.tables(lines));
         assertTrue(
                 found.contains("table fleet bytes_out is not what the results give"),
                 found.toString());
@@ -115,9 +115,9 @@
 
     @Test
     void tableOfAMetricWithoutResultsIsReported() throws IOException {
-        List<ResultLine> lines = new ArrayList<>(Samples.lines());
+        List<ResultLine> lines = new ArrayList<>(SampleResults.lines());
         assertTrue(lines.removeIf(line -> line.metric().equals("cpu")));
-        List<String> found = new Page(page()).faults(Samples.tables(lines));
+        List<String> found = new TemplatePage(page()).faults(SampleResults.tables(lines));
         assertTrue(
                 found.contains("table roles: the results of fleet hold no figure cpu"),
                 found.toString());
@@ -127,15 +127,18 @@
     @Test
     void scenarioNotRunRequiresAReason() throws IOException {
         assertTrue(
-                Samples.row(Samples.tables().table("roles"), "| zone |")
+                SampleResults.row(SampleResults.tables().table("roles"), "| zone |")
                         .contains("not measured: the sample left it out"));
-        Sizing without =
-                Sizing.read(Samples.rolesText().replace("fleet/zone_lost", "fleet/zone_back"));
+        CapacityModel without =
+                CapacityModel.read(
+                        SampleResults.rolesText().replace("fleet/zone_lost", "fleet/zone_back"));
         String message =
                 assertThrows(
                                 IllegalArgumentException.class,
                                 () ->
-                                        new Tables(new Measurements(Samples.lines()), without)
+                                        new CapacityTables(
+                                                        new Measurements(SampleResults.lines()),
+                                                        without)
                                                 .table("roles"))
                         .getMessage();
         assertTrue(message.startsWith("the results of fleet hold no play zone_lost"), message);
@@ -144,7 +147,7 @@
     /** An interrupted tool writes an invalid line instead of the metric. */
     @Test
     void interruptedScenarioShowsItsReason() throws IOException {
-        List<ResultLine> lines = new ArrayList<>(Samples.lines());
+        List<ResultLine> lines = new ArrayList<>(SampleResults.lines());
         assertTrue(lines.removeIf(line -> line.scenario().equals("cut")));
         lines.add(
                 new ResultLine(
@@ -180,9 +183,9 @@
                         1,
                         true,
                         ""));
-        String table = Samples.tables(lines).table("roles");
+        String table = SampleResults.tables(lines).table("roles");
         assertTrue(
-                Samples.row(table, "| cut |")
+                SampleResults.row(table, "| cut |")
                         .contains("| did not count: cut short: &lt;memory&gt; |"),
                 table);
     }
@@ -192,7 +195,8 @@
         String page = page().replaceFirst("(?s)(<!-- table roles -->.*?)<!-- end -->", "$1");
         assertFalse(faults(page).isEmpty());
         assertThrows(
-                IllegalArgumentException.class, () -> new Page(page).generate(Samples.tables()));
+                IllegalArgumentException.class,
+                () -> new TemplatePage(page).generate(SampleResults.tables()));
     }
 
     @Test
@@ -204,55 +208,58 @@
 
     @Test
     void cellsWithoutResultsSayNotMeasured() throws IOException {
-        String page = new Page(EMPTY).generate(Samples.tables(List.of()));
+        String page = new TemplatePage(EMPTY).generate(SampleResults.tables(List.of()));
         assertTrue(
                 page.contains("<!-- table fleet bytes_out -->\nnot measured\n<!-- end -->"), page);
         assertTrue(page.contains("<!--=least.factor-->not measured<!--/-->"), page);
         assertEquals(
                 "| control | cut | not measured |  |  | `b` | 6 KB/s (sample) | not measured |  |",
-                Samples.row(page, "| control | cut | not measured |  |  |"));
-        assertEquals(List.of(), new Page(page).faults(Samples.tables(List.of())));
+                SampleResults.row(page, "| control | cut | not measured |  |  |"));
+        assertEquals(List.of(), new TemplatePage(page).faults(SampleResults.tables(List.of())));
     }
 
     @Test
     void roleRowsNameRunDerivationBudgetFactorAndLimit() throws IOException {
-        String table = Samples.tables().table("roles");
+        String table = SampleResults.tables().table("roles");
         assertEquals(
                 "| control | cut | *reckoned* 108 KB/s | fleet/cut/bytes_out (before) from 45 to"
                     + " 360 by the line, 1 seed | 0.15 KB/s each, ± 0, exponent 1 | `b` | 6 KB/s"
                     + " (sample) | **0.0556** | under 45 members, the least that was run |",
-                Samples.row(table, "| cut |"));
+                SampleResults.row(table, "| cut |"));
         assertTrue(
-                Samples.row(table, "| calm |")
+                SampleResults.row(table, "| calm |")
                         .contains(
                                 "| *reckoned* 3.45 KB/s | fleet/calm/bytes_out (before) from 45 to"
                                         + " 360 by the line, 2 seeds; at 720 it did not count:"
                                         + " processor full |"),
                 table);
         assertTrue(
-                Samples.row(table, "| calm |").endsWith("| 1.74 | *reckoned* 2,000 members |"),
+                SampleResults.row(table, "| calm |")
+                        .endsWith("| 1.74 | *reckoned* 2,000 members |"),
                 table);
         assertTrue(
-                Samples.row(table, "`e`")
+                SampleResults.row(table, "`e`")
                         .contains(
                                 "| 1.75 % of a core | fleet/calm/cpu (before) at "
                                         + "720, 1 seed"
                                         + " |"),
                 table);
         assertTrue(
-                Samples.row(table, "`f`")
+                SampleResults.row(table, "`f`")
                         .contains(
                                 "| *reckoned* 0.0862 core | "
                                         + "serving/engines/cpu_per_query "
                                         + "(before) at 980, 1 seed, times 431 queries a second |"),
                 table);
-        assertTrue(Samples.row(table, "keeper").contains("| not measured: there is none |"), table);
+        assertTrue(
+                SampleResults.row(table, "keeper").contains("| not measured: there is none |"),
+                table);
     }
 
     @Test
     void missingTableIsOrderedByRemainingFactor() throws IOException {
         List<String> rows =
-                Samples.tables()
+                SampleResults.tables()
                         .table("missing")
                         .lines()
                         .skip(2)
@@ -270,7 +277,7 @@
     @Test
     void variantsStandSideBySideWithBeforeFirst() throws IOException {
         List<String> rows =
-                Samples.tables()
+                SampleResults.tables()
                         .table("fleet bytes_out")
                         .lines()
                         .filter(row -> row.startsWith("| calm"))
@@ -288,10 +295,11 @@
 
     @Test
     void witnessRatiosOverAFifthApartAreMarkedWithTheReason() throws IOException {
-        String table = Samples.tables().table("witness");
-        assertTrue(Samples.row(table, "| 45 |").endsWith("| 1 |  |"), table);
+        String table = SampleResults.tables().table("witness");
+        assertTrue(SampleResults.row(table, "| 45 |").endsWith("| 1 |  |"), table);
         assertTrue(
-                Samples.row(table, "| 90 |").endsWith("| **0.546** | the sample says so |"), table);
+                SampleResults.row(table, "| 90 |").endsWith("| **0.546** | the sample says so |"),
+                table);
     }
 
     @Test
@@ -300,7 +308,7 @@
                 "| regions apart | 2 a year | *reckoned* 144,000 B/s (from 45 to 360 by the line, 1"
                     + " seed) | not measured (at 360 alone, so there is no slope) | not measured"
                     + " (at 360 alone, so there is no slope) | nothing |",
-                Samples.row(Samples.tables().table("faults"), "regions apart"));
+                SampleResults.row(SampleResults.tables().table("faults"), "regions apart"));
     }
 
     @ParameterizedTest
@@ -315,10 +323,10 @@
             })
     void rolesWithTypedNumbersOrUnknownNamesAreRejected(String change) throws IOException {
         String[] parts = change.split("=", 2);
-        String text = Samples.rolesText();
+        String text = SampleResults.rolesText();
         assertTrue(text.contains(parts[0]), parts[0]);
         assertThrows(
                 IllegalArgumentException.class,
-                () -> Sizing.read(text.replace(parts[0], parts[1])));
+                () -> CapacityModel.read(text.replace(parts[0], parts[1])));
     }
 }
--- a/src/test/java/junipercourse/scale/page/Prose.java
+++ b/src/test/java/junipercourse/scale/page/TypedNumbers.java
@@ -4,11 +4,11 @@
 import java.util.regex.Pattern;
 
 /** Finds hand-typed numbers, which come from no result and no named source. */
-final class Prose {
+final class TypedNumbers {
     /**
      * Text whose digits are no quantity: code, links, comments, numbers of list items and issues.
      */
-    private static final Pattern NAMES =
+    private static final Pattern TEXT_WITHOUT_QUANTITIES =
             Pattern.compile(
                     "(?s)<!--.*?-->|`[A-Za-z./-][^`\\n]*`|\\]\\([^)]*\\)"
                             + "|(?m:^ {4}.*$)|(?i:issues? \\d+)|(?m:^\\s*\\d+\\. )");
@@ -16,10 +16,10 @@
     private static final Pattern NUMBER =
             Pattern.compile("(?<![A-Za-z_])\\d[\\d.,]*(?:\\s?[^\\s|]+)?");
 
-    private Prose() {}
+    private TypedNumbers() {}
 
-    static List<String> typedNumbers(String text) {
-        return NUMBER.matcher(NAMES.matcher(text).replaceAll(" " + ""))
+    static List<String> find(String text) {
+        return NUMBER.matcher(TEXT_WITHOUT_QUANTITIES.matcher(text).replaceAll(" " + ""))
                 .results()
                 .map(found -> found.group().strip())
                 .toList();
