Let estimates of load and congestion return to their initial values without new samples

Cause: LoadEstimator.usualThreadsPerCore reaches the limit of threads per core, at which nothing fits any engine; only answers lower it, and none come without attempts. The same with CongestionEstimator: it decayed only when an attempt ended, and EngineSelector.chooseEngine keeps first attempts off a congested back tier even if the front tier has no ready engine.

Change: both estimates return to their initial value with a time constant of 3 s while no sample comes (the constant that congestion had between attempts). A congested back tier is closed to first attempts only while the front tier has ready engines. Samples of the congestion estimator must be finite (an assertion, which the tests enable).

CongestionEstimatorTest#returnsToThePriorWithoutFurtherAttempts is new.

--- a/src/main/java/junipercourse/decision/admission/AttemptFeedback.java
+++ b/src/main/java/junipercourse/decision/admission/AttemptFeedback.java
@@ -63,7 +63,7 @@
         }
         boolean wasCutOff = attempt.isCancelled() || outcome == AttemptOutcome.TIMEOUT;
         if (isAnswered || wasCutOff && latencySeconds > attempt.expectedLatency()) {
-            recordLatency(attempt, latencySeconds, isAnswered);
+            recordLatency(now, attempt, latencySeconds, isAnswered);
         }
         recordFault(now, attempt, outcome);
     }
@@ -104,7 +104,8 @@
         outlierDetector.reinstate(engine, ReinstatementReason.ANSWERED);
     }
 
-    private void recordLatency(Attempt attempt, double latencySeconds, boolean isAnswered) {
+    private void recordLatency(
+            double now, Attempt attempt, double latencySeconds, boolean isAnswered) {
         estimators.speed().record(attempt.engine(), latencySeconds / attempt.expectedLatency());
         if (!attempt.isOnFrontTier() && !isAnswered) {
             return;
@@ -116,7 +117,7 @@
                         ? 0
                         : Math.min(
                                 attempt.projectedLatency(),
-                                latencyEstimator.cutoffSeconds(request));
+                                latencyEstimator.cutoffSeconds(now, request));
         double latencyMultiple =
                 Math.max(latencySeconds, projectedSeconds)
                         / latencyEstimator.sizeFactor(request)
@@ -174,7 +175,7 @@
     public boolean wasSlowedByCongestion(double now, Attempt attempt) {
         PendingRequest request = attempt.request();
         double latencySeconds = now - attempt.sentAt();
-        return estimators.congestion().slowdownFactor() > DecisionDefaults.CONGESTED_SLOWDOWN
+        return estimators.congestion().slowdownFactor(now) > DecisionDefaults.CONGESTED_SLOWDOWN
                 && request.hasCostEstimate()
                 && latencySeconds > DecisionDefaults.CONGESTED_SLOWDOWN * request.unloadedLatency();
     }
--- a/src/main/java/junipercourse/decision/admission/AttemptSupervisor.java
+++ b/src/main/java/junipercourse/decision/admission/AttemptSupervisor.java
@@ -119,7 +119,7 @@
         double nextSupervisionAt = now + DecisionDefaults.SUPERVISION_INTERVAL_SECONDS;
         double cutoffAt =
                 attempt.isOnFrontTier() && !isRestartDue
-                        ? attempt.sentAt() + latencyEstimator.cutoffSeconds(attempt.request())
+                        ? attempt.sentAt() + latencyEstimator.cutoffSeconds(now, attempt.request())
                         : nextSupervisionAt;
         return Math.max(
                 now + evaluationDelaySeconds(ageSeconds), Math.min(cutoffAt, nextSupervisionAt));
--- a/src/main/java/junipercourse/decision/admission/CutoffController.java
+++ b/src/main/java/junipercourse/decision/admission/CutoffController.java
@@ -61,7 +61,7 @@
      */
     private void updateCutoffs(double now) {
         gossip.expire(now);
-        loadEstimator.refreshUsualLoad();
+        loadEstimator.refreshUsualLoad(now);
         double usableThreads =
                 state.engines().backCores()
                         * estimators.traffic().ownShare()
@@ -149,6 +149,6 @@
                                 < latencyEstimator.expectedLatency(attempt.request());
         return !isNearlyDone
                 && Math.max(ageSeconds, projectedSeconds * PROJECTION_DISCOUNT)
-                        >= latencyEstimator.cutoffSeconds(attempt.request());
+                        >= latencyEstimator.cutoffSeconds(now, attempt.request());
     }
 }
--- a/src/main/java/junipercourse/decision/estimation/CongestionEstimator.java
+++ b/src/main/java/junipercourse/decision/estimation/CongestionEstimator.java
@@ -6,7 +6,8 @@
  * Estimates the factor by which congestion slows queries down, for all engines and for each tier.
  * By Little's law, it is the ratio of thread seconds in use to work completed. Unlike the mean
  * latency of answers, this ratio includes attempts that are cancelled or hang, so that it rises as
- * soon as engines are overloaded.
+ * soon as engines are overloaded. Without further attempts it returns to the prior, since only new
+ * attempts could show that congestion has ended.
  */
 public final class CongestionEstimator {
     private final double decaySeconds;
@@ -14,7 +15,6 @@
     private final double priorFactor;
     private final TierSums frontSums = new TierSums();
     private final TierSums backSums = new TierSums();
-    private boolean hasSamples;
     private double updatedAt;
 
     /** Thread seconds used and work completed in one tier. */
@@ -48,8 +48,8 @@
      * @param completedWork work that it completed, in seconds of one thread; 0 without an answer
      */
     public void addAttempt(double now, Tier tier, double threadSeconds, double completedWork) {
-        double decayFactor = hasSamples ? Math.exp(Math.min(0, updatedAt - now) / decaySeconds) : 1;
-        hasSamples = true;
+        assert Double.isFinite(threadSeconds) && Double.isFinite(completedWork);
+        double decayFactor = decayFactor(now);
         updatedAt = now;
         frontSums.decay(decayFactor);
         backSums.decay(decayFactor);
@@ -58,6 +58,11 @@
         sums.work += completedWork;
     }
 
+    /** Returns the weight at a time of the samples as of the last update. */
+    private double decayFactor(double now) {
+        return Math.exp(Math.min(0, updatedAt - now) / decaySeconds);
+    }
+
     private TierSums sums(Tier tier) {
         return tier == Tier.FRONT ? frontSums : backSums;
     }
@@ -66,14 +71,22 @@
      * Returns the slowdown factor of all engines: about 1 without congestion, 2 to 3 with heavy
      * congestion.
      */
-    public double slowdownFactor() {
-        return (frontSums.threadSeconds + backSums.threadSeconds + priorWork * priorFactor)
-                / (frontSums.work + backSums.work + priorWork);
+    public double slowdownFactor(double now) {
+        return slowdownFactor(
+                now,
+                frontSums.threadSeconds + backSums.threadSeconds,
+                frontSums.work + backSums.work);
     }
 
     /** Returns the slowdown factor of one tier. */
-    public double slowdownFactor(Tier tier) {
+    public double slowdownFactor(double now, Tier tier) {
         TierSums sums = sums(tier);
-        return (sums.threadSeconds + priorWork * priorFactor) / (sums.work + priorWork);
+        return slowdownFactor(now, sums.threadSeconds, sums.work);
+    }
+
+    private double slowdownFactor(double now, double threadSeconds, double work) {
+        double decayFactor = decayFactor(now);
+        return (threadSeconds * decayFactor + priorWork * priorFactor)
+                / (work * decayFactor + priorWork);
     }
 }
--- a/src/main/java/junipercourse/decision/estimation/Estimators.java
+++ b/src/main/java/junipercourse/decision/estimation/Estimators.java
@@ -20,7 +20,6 @@
         EngineSpeedEstimator speed,
         CongestionEstimator congestion,
         WorkloadMix workload) {
-    private static final double CONGESTION_DECAY_SECONDS = 3;
     private static final double CONGESTION_PRIOR_WORK_SECONDS = 2;
 
     /** Creates estimators without samples. */
@@ -28,7 +27,7 @@
         TrafficShareEstimator traffic = new TrafficShareEstimator(settings);
         CongestionEstimator congestion =
                 new CongestionEstimator(
-                        CONGESTION_DECAY_SECONDS,
+                        DecisionDefaults.EVIDENCE_DECAY_SECONDS,
                         CONGESTION_PRIOR_WORK_SECONDS,
                         DecisionDefaults.BASELINE_SLOWDOWN);
         return new Estimators(
--- a/src/main/java/junipercourse/decision/estimation/LatencyEstimator.java
+++ b/src/main/java/junipercourse/decision/estimation/LatencyEstimator.java
@@ -90,9 +90,9 @@
      * Returns the seconds after which the first attempt of a request is cancelled and restarted:
      * the cutoff of its class, scaled by the size of the request and by congestion.
      */
-    public double cutoffSeconds(PendingRequest request) {
+    public double cutoffSeconds(double now, PendingRequest request) {
         return request.classStatistics().cutoff()
                 * sizeFactor(request)
-                * Math.max(1, congestion.slowdownFactor() / DecisionDefaults.BASELINE_SLOWDOWN);
+                * Math.max(1, congestion.slowdownFactor(now) / DecisionDefaults.BASELINE_SLOWDOWN);
     }
 }
--- a/src/main/java/junipercourse/decision/load/LoadEstimator.java
+++ b/src/main/java/junipercourse/decision/load/LoadEstimator.java
@@ -26,6 +26,7 @@
     private final PeerLoadGossip gossip;
     private final AggregateCapacity capacity;
     private double usualThreadsPerCore = INITIAL_USUAL_LOAD;
+    private double usualLoadUpdatedAt;
 
     /** Creates an estimator without reports. */
     public LoadEstimator(
@@ -41,14 +42,24 @@
         this.capacity = capacity;
     }
 
-    /** Returns the threads per core that other dispatchers usually have in flight. */
-    public double usualThreadsPerCore() {
-        return usualThreadsPerCore;
+    /**
+     * Returns the threads per core that other dispatchers usually have in flight. A value above the
+     * initial one returns to it without further reports: it may keep this dispatcher from sending
+     * the attempts whose answers would contain them.
+     */
+    public double usualThreadsPerCore(double now) {
+        double excess = Math.max(0, usualThreadsPerCore - INITIAL_USUAL_LOAD);
+        double decayFactor =
+                Math.exp(
+                        Math.min(0, usualLoadUpdatedAt - now)
+                                / DecisionDefaults.EVIDENCE_DECAY_SECONDS);
+        return usualThreadsPerCore - excess * (1 - decayFactor);
     }
 
     /** Updates the usual load from gossip, if gossip is active. */
-    public void refreshUsualLoad() {
+    public void refreshUsualLoad(double now) {
         if (gossip.isActive()) {
+            usualLoadUpdatedAt = now;
             usualThreadsPerCore = gossip.peerThreads() / Math.max(1, state.engines().totalCores());
         }
     }
@@ -66,7 +77,7 @@
             return external.peerThreads();
         }
         double usualThreads =
-                usualThreadsPerCore * engine.cores() * slowStart.capacityShare(now, engine);
+                usualThreadsPerCore(now) * engine.cores() * slowStart.capacityShare(now, engine);
         if (external.reportedAt() < engine.slowStart().startedAt()) {
             usualThreads =
                     Math.min(
@@ -95,9 +106,12 @@
         double weight = PREVIOUS_REPORT_WEIGHT * reportWeight(now, external);
         external.recordReport(
                 now, weight * external.reportedThreads() + (1 - weight) * Math.max(0, threads));
-        usualThreadsPerCore +=
-                USUAL_LOAD_WEIGHT
-                        * (external.reportedThreads() / engine.cores() - usualThreadsPerCore);
+        double previous = usualThreadsPerCore(now);
+        usualThreadsPerCore =
+                previous
+                        + USUAL_LOAD_WEIGHT
+                                * (external.reportedThreads() / engine.cores() - previous);
+        usualLoadUpdatedAt = now;
     }
 
     /**
--- a/src/main/java/junipercourse/decision/selection/AttemptLauncher.java
+++ b/src/main/java/junipercourse/decision/selection/AttemptLauncher.java
@@ -54,7 +54,8 @@
         double grantMb = memoryGrants.grantMb(request);
         setAttemptTerms(request, grantMb);
         state.actions()
-                .startAttempt(request.query().id(), engine.id(), timeoutSeconds(request, engine));
+                .startAttempt(
+                        request.query().id(), engine.id(), timeoutSeconds(now, request, engine));
         double slowStartCharge = constraints.slowStart().computeCharge(now, request, engine);
         Attempt attempt =
                 new Attempt(
@@ -69,7 +70,7 @@
         double firstEvaluationSeconds =
                 Math.min(
                         DecisionDefaults.SUPERVISION_INTERVAL_SECONDS,
-                        latencyEstimator.cutoffSeconds(request));
+                        latencyEstimator.cutoffSeconds(now, request));
         state.requests().evaluations().schedule(now + firstEvaluationSeconds, request);
     }
 
@@ -105,12 +106,12 @@
      * cancellation, an attempt on the front tier times out at its cutoff, unless its query is not
      * idempotent.
      */
-    private double timeoutSeconds(PendingRequest request, EngineState engine) {
+    private double timeoutSeconds(double now, PendingRequest request, EngineState engine) {
         boolean endsAtCutoff =
                 !state.settings().limits().cancellationAllowed()
                         && engine.tier() == Tier.FRONT
                         && request.queryClass().idempotency() != Idempotency.NOT_IDEMPOTENT;
-        return endsAtCutoff ? latencyEstimator.cutoffSeconds(request) : 0;
+        return endsAtCutoff ? latencyEstimator.cutoffSeconds(now, request) : 0;
     }
 
     /**
--- a/src/main/java/junipercourse/decision/selection/EngineSelector.java
+++ b/src/main/java/junipercourse/decision/selection/EngineSelector.java
@@ -64,10 +64,10 @@
      * the request exceeds the fair share of this dispatcher.
      */
     public EngineState select(double now, PendingRequest request) {
-        if (!fairShareLimiter.allows(request)) {
+        if (!fairShareLimiter.allows(now, request)) {
             return null;
         }
-        boolean allLoadsKnown = areAllLoadsKnown();
+        boolean allLoadsKnown = areAllLoadsKnown(now);
         TierChoice frontChoice = new TierChoice();
         TierChoice backChoice = new TierChoice();
         for (EngineState engine : request.candidateEngines()) {
@@ -76,7 +76,7 @@
                 considerEngine(now, request, engine, tierChoice, allLoadsKnown);
             }
         }
-        return chooseEngine(request, frontChoice, backChoice);
+        return chooseEngine(now, request, frontChoice, backChoice);
     }
 
     /**
@@ -84,11 +84,11 @@
      * without a report appears idle; this is accepted if there is a single dispatcher, if gossip
      * reports the load of the others, or if the front tier is the more congested one.
      */
-    private boolean areAllLoadsKnown() {
+    private boolean areAllLoadsKnown(double now) {
         boolean isFrontCongested =
-                congestionEstimator.slowdownFactor(Tier.FRONT)
+                congestionEstimator.slowdownFactor(now, Tier.FRONT)
                         > DecisionDefaults.CONGESTED_SLOWDOWN
-                                * congestionEstimator.slowdownFactor(Tier.BACK);
+                                * congestionEstimator.slowdownFactor(now, Tier.BACK);
         return state.settings().dispatcherCount() == 1 || gossip.isActive() || isFrontCongested;
     }
 
@@ -103,7 +103,7 @@
             tierChoice.lowestLoad =
                     Math.min(
                             tierChoice.lowestLoad,
-                            loadPerCore * congestionEstimator.slowdownFactor(engine.tier()));
+                            loadPerCore * congestionEstimator.slowdownFactor(now, engine.tier()));
         }
         double cost =
                 computeCost(request, engine, loadPerCore)
@@ -123,8 +123,12 @@
                 || reportAgeSeconds < DecisionDefaults.LOAD_REPORT_DECAY_SECONDS;
     }
 
+    /**
+     * Returns the best engine of the preferred tier, or else of the other one. A congested back
+     * tier takes no first attempts that the front tier has no room for.
+     */
     private EngineState chooseEngine(
-            PendingRequest request, TierChoice frontChoice, TierChoice backChoice) {
+            double now, PendingRequest request, TierChoice frontChoice, TierChoice backChoice) {
         boolean prefersBackTier =
                 request.isRestarting()
                         ? backChoice.lowestLoad < Double.POSITIVE_INFINITY
@@ -132,11 +136,13 @@
         TierChoice preferredChoice = prefersBackTier ? backChoice : frontChoice;
         TierChoice otherChoice = prefersBackTier ? frontChoice : backChoice;
         boolean isBackCongested =
-                congestionEstimator.slowdownFactor(Tier.BACK) > DecisionDefaults.CONGESTED_SLOWDOWN;
+                congestionEstimator.slowdownFactor(now, Tier.BACK)
+                        > DecisionDefaults.CONGESTED_SLOWDOWN;
+        boolean hasFrontTier = !state.engines().readyEngines(Tier.FRONT).isEmpty();
         boolean isTierFixed =
                 preferredChoice.bestEngine != null
                         || request.isRestarting()
-                        || !prefersBackTier && isBackCongested;
+                        || !prefersBackTier && isBackCongested && hasFrontTier;
         return isTierFixed ? preferredChoice.bestEngine : otherChoice.bestEngine;
     }
 
--- a/src/main/java/junipercourse/decision/selection/FairShareLimiter.java
+++ b/src/main/java/junipercourse/decision/selection/FairShareLimiter.java
@@ -42,9 +42,9 @@
      * are scaled by the request's random admission draw, so that a request that needs more threads
      * than the limit is admitted with some probability.
      */
-    boolean allows(PendingRequest request) {
+    boolean allows(double now, PendingRequest request) {
         double ownShare = estimators.traffic().ownShare();
-        double loadRatio = fleetLoadRatio(ownShare);
+        double loadRatio = fleetLoadRatio(now, ownShare);
         double adjustedShare = ownShare * (1 + SHARE_TOLERANCE * ownShare) * limitFactor(request);
         double maxThreads =
                 adjustedShare
@@ -62,12 +62,12 @@
         return request.isOverQuota() ? OVER_QUOTA_LIMIT_SHARE : 1;
     }
 
-    private double fleetLoadRatio(double ownShare) {
+    private double fleetLoadRatio(double now, double ownShare) {
         double congestion =
-                estimators.congestion().slowdownFactor() / DecisionDefaults.CONGESTED_SLOWDOWN;
+                estimators.congestion().slowdownFactor(now) / DecisionDefaults.CONGESTED_SLOWDOWN;
         double congestionLoadRatio = (1 - ownShare) * Math.pow(congestion, 2);
         double reportedLoadRatio =
-                loadEstimator.usualThreadsPerCore() / DecisionDefaults.MAX_THREADS_PER_CORE;
+                loadEstimator.usualThreadsPerCore(now) / DecisionDefaults.MAX_THREADS_PER_CORE;
         return Math.max(
                 MIN_LOAD_RATIO,
                 Math.max(
--- a/src/main/java/junipercourse/decision/state/DecisionDefaults.java
+++ b/src/main/java/junipercourse/decision/state/DecisionDefaults.java
@@ -60,6 +60,12 @@
      */
     public static final double LOAD_REPORT_DECAY_SECONDS = 1.0;
 
+    /**
+     * Time constant in seconds with which an estimate that keeps attempts back returns to its
+     * initial value while no new sample comes.
+     */
+    public static final double EVIDENCE_DECAY_SECONDS = 3.0;
+
     /** Slowdown factor above which engines count as congested. */
     public static final double CONGESTED_SLOWDOWN = 1.7;
 
--- a/src/test/java/junipercourse/decision/RecoveryAfterTroubleTest.java
+++ b/src/test/java/junipercourse/decision/RecoveryAfterTroubleTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A dispatcher must serve again once a trouble is over, whatever it has learned meanwhile. */
 class RecoveryAfterTroubleTest {
@@ -83,13 +84,27 @@
         assertServesAgain(simulation);
     }
 
-    @Test
-    void servesAgainWhenItsOnlyEngineIsNoLongerSlow() {
-        ServingSimulation simulation = startServing(1, 30);
+    @ParameterizedTest
+    @ValueSource(doubles = {5, 10, 20, 30})
+    void servesAgainWhenItsOnlyEngineIsNoLongerSlow(double requestsPerSecond) {
+        ServingSimulation simulation = startServing(1, requestsPerSecond);
+        simulation.setSlowdown(3);
+        simulation.serve(10);
+        simulation.pause(10); // the last answers are slow as well
+        simulation.setSlowdown(1);
+        assertServesAgain(simulation);
+    }
+
+    /** Guards against a back tier that stays closed to first attempts though it is the only one. */
+    @ParameterizedTest
+    @ValueSource(doubles = {5, 10, 20, 30})
+    void servesAgainWhenTheFrontTierIsDrainedAndTheBackTierNoLongerSlow(double requestsPerSecond) {
+        ServingSimulation simulation = startServing(4, requestsPerSecond);
+        simulation.drainEngines(3);
         simulation.setSlowdown(3);
         simulation.serve(10);
+        simulation.pause(10); // the last answers are slow as well
         simulation.setSlowdown(1);
-        simulation.pause(3);
         assertServesAgain(simulation);
     }
 
--- a/src/test/java/junipercourse/decision/ServingSimulation.java
+++ b/src/test/java/junipercourse/decision/ServingSimulation.java
@@ -1,5 +1,6 @@
 package junipercourse.decision;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -8,9 +9,12 @@
 import junipercourse.decision.api.AttemptResult;
 import junipercourse.decision.api.CapacityRating;
 import junipercourse.decision.api.DecisionSettings;
+import junipercourse.decision.api.EndpointUpdateKind;
 import junipercourse.decision.api.EngineCapabilities;
 import junipercourse.decision.api.EngineId;
 import junipercourse.decision.api.EngineKind;
+import junipercourse.decision.api.EngineListing;
+import junipercourse.decision.api.EngineStage;
 import junipercourse.decision.api.Idempotency;
 import junipercourse.decision.api.LoadMetric;
 import junipercourse.decision.api.LoadReportChannel;
@@ -81,6 +85,18 @@
         dispatcher.listReadyEngines(engineCount);
     }
 
+    /** Lists the first engines as draining and all others as ready. */
+    void drainEngines(int count) {
+        List<EngineListing> listings = new ArrayList<>();
+        for (int id = 1; id <= engineCount; id++) {
+            EngineStage stage = id <= count ? EngineStage.DRAINING : EngineStage.READY;
+            listings.add(RecordingDispatcher.listing(id, stage, 0));
+        }
+        dispatcher.module.endpointsChanged(dispatcher.now, EndpointUpdateKind.FULL, listings);
+        dispatcher.module.decide(dispatcher.now);
+        runAttempts();
+    }
+
     /** Sets whether other dispatchers' queries hold every session of all engines. */
     void setEnginesFull(boolean full) {
         areEnginesFull = full;
--- a/src/test/java/junipercourse/decision/estimation/CongestionEstimatorTest.java
+++ b/src/test/java/junipercourse/decision/estimation/CongestionEstimatorTest.java
@@ -13,7 +13,7 @@
 
     @Test
     void returnsUsualFactorBeforeAnySample() {
-        assertEquals(1.5, congestion.slowdownFactor());
+        assertEquals(1.5, congestion.slowdownFactor(0));
     }
 
     /** Ten queries a second of 0.3 s of work each, of which the given share is answered. */
@@ -34,16 +34,25 @@
             congestion.addAttempt(i * 0.1, Tier.FRONT, threadsHeld, 0.3 * completed);
         }
         assertTrue(
-                congestion.slowdownFactor() >= minFactor
-                        && congestion.slowdownFactor() <= maxFactor,
-                "factor " + congestion.slowdownFactor());
+                congestion.slowdownFactor(6) >= minFactor
+                        && congestion.slowdownFactor(6) <= maxFactor,
+                "factor " + congestion.slowdownFactor(6));
     }
 
     @Test
     void forgetsCongestionThatHasEnded() {
         congestion.addAttempt(0, Tier.BACK, 100, 0);
         congestion.addAttempt(20, Tier.BACK, 1, 1);
-        assertTrue(congestion.slowdownFactor() < 1.5, "factor " + congestion.slowdownFactor());
+        assertTrue(congestion.slowdownFactor(20) < 1.5, "factor " + congestion.slowdownFactor(20));
+    }
+
+    /** Guards against a factor that stays high as long as no attempt is sent. */
+    @Test
+    void returnsToThePriorWithoutFurtherAttempts() {
+        congestion.addAttempt(0, Tier.BACK, 100, 1);
+        assertTrue(congestion.slowdownFactor(0, Tier.BACK) > 10);
+        assertEquals(1.5, congestion.slowdownFactor(30), 0.01);
+        assertEquals(1.5, congestion.slowdownFactor(30, Tier.BACK), 0.01);
     }
 
     @Test
@@ -53,10 +62,10 @@
             congestion.addAttempt(i * 0.1, Tier.BACK, 2, 0.2);
         }
         assertTrue(
-                congestion.slowdownFactor(Tier.FRONT) < 1.5
-                        && congestion.slowdownFactor(Tier.BACK) > 4,
-                congestion.slowdownFactor(Tier.FRONT)
+                congestion.slowdownFactor(5, Tier.FRONT) < 1.5
+                        && congestion.slowdownFactor(5, Tier.BACK) > 4,
+                congestion.slowdownFactor(5, Tier.FRONT)
                         + ", "
-                        + congestion.slowdownFactor(Tier.BACK));
+                        + congestion.slowdownFactor(5, Tier.BACK));
     }
 }
