--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -420,6 +420,7 @@
     /** An event bus of the page PROTOCOL: all events so far, an empty frame each second. */
     public static final class Bus implements Closeable {
         private final Lab lab;
+        private volatile double firstFrameSeconds;
         private final ServerSocket server;
         private final List<byte[]> events = new ArrayList<>(); // from number 2 on
         private final List<Socket> sockets = new CopyOnWriteArrayList<>();
@@ -453,12 +454,25 @@
             notifyAll();
         }
 
+        /** Ends all open watches; later ones wait so long for their first frame. */
+        public void breakOff(double secondsToFirstFrame) throws IOException {
+            lab.note("bus breaks off; it now takes " + secondsToFirstFrame + " s to answer");
+            firstFrameSeconds = secondsToFirstFrame;
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+
         private void serve(Socket socket) throws IOException {
             try (socket) {
                 socket.setTcpNoDelay(true);
                 long last = new DataInputStream(socket.getInputStream()).readLong();
                 lab.note("bus is asked for events after " + last);
                 OutputStream out = socket.getOutputStream();
+                if (firstFrameSeconds > 0) { // its turn comes later; until then nothing is read
+                    sleep(firstFrameSeconds);
+                    lab.note("bus comes to a connection; now it answers");
+                }
                 int next = (int) Math.max(0, last - 1);
                 double emptyDueAt = now();
                 while (true) {
