Match SHOW statements in linear time

Cause: the pattern of SHOW statements had two adjacent quantifiers over spaces and tried each division of them, about n * n / 2 steps, on the event loop.

--- a/src/main/java/junipercourse/pg/PgProtocolHandler.java
+++ b/src/main/java/junipercourse/pg/PgProtocolHandler.java
@@ -3,8 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import junipercourse.core.Counters.Count;
 import junipercourse.core.Query;
 import junipercourse.core.ResponseHandler;
@@ -15,8 +13,6 @@
  * only {@link #onSessionClosed} and {@link #cancelQuery} abandon it.
  */
 final class PgProtocolHandler implements ResponseHandler {
-    private static final Pattern SHOW_STATEMENT =
-            Pattern.compile("\\s*show\\s+([a-z_]+)\\s*;?\\s*", Pattern.CASE_INSENSITIVE);
     private static final byte[] NO_MESSAGE = {};
 
     private final PgServer server;
@@ -109,9 +105,9 @@
             sendReply(new BackendMessageEncoder().emptyQueryResponse());
             return;
         }
-        Matcher showMatcher = SHOW_STATEMENT.matcher(text);
+        String tableName = ShowStatement.tableName(text);
         StatusTables.Table table =
-                showMatcher.matches() ? server.statusTables().table(showMatcher.group(1)) : null;
+                tableName == null ? null : server.statusTables().table(tableName);
         if (table != null) {
             sendReply(
                     new BackendMessageEncoder().resultSet(List.of(table.rows()), table.columns()));
