Fetch a page again when rows come behind its declared length later

Cause: a page counted as soon as its declared length was read. Rows that came later were found on the connection before its next call and thrown away.

Change: a page counts once 2 ms have passed without rows behind it; otherwise it is removed and fetched again, page 0 by a poll. This holds for the last page, after Connection: close, and for rows that come with the answer to the next call. Each result takes 2 ms more. Connection.isOpenWithoutInput, which discarded input, is gone.

--- a/src/main/java/junipercourse/engine/AttemptConnections.java
+++ b/src/main/java/junipercourse/engine/AttemptConnections.java
@@ -28,6 +28,7 @@
     private CallListener listener;
     private HttpCall ignoredCall;
     private EngineConnection idleConnection;
+    private boolean hasLateRows;
     private boolean isClosed;
     private DeadlineQueue.Entry timer;
 
@@ -63,7 +64,7 @@
                         : RESPONSE_TIMEOUT_SECONDS);
         EngineConnection reusable = idleConnection;
         idleConnection = null;
-        if (reusable != null && reusable.checkReusable()) {
+        if (reusable != null && reusable.prepareReuse()) {
             newCall.writeOn(reusable);
         } else {
             pool.callOnNewConnection(newCall, startsQuery, this);
@@ -86,7 +87,7 @@
     }
 
     @Override
-    public void onReusable(EngineConnection connection) {
+    public void onAnswered(EngineConnection connection) {
         if (isClosed || idleConnection != null) {
             connection.close();
         } else {
@@ -94,6 +95,24 @@
         }
     }
 
+    @Override
+    public void onLateRows() {
+        hasLateRows = true;
+    }
+
+    /**
+     * Reads what has arrived on the idle connection, and returns whether rows have come behind the
+     * last response since this was asked last.
+     */
+    boolean takeLateRows() {
+        if (idleConnection != null && !idleConnection.prepareReuse()) {
+            idleConnection = null;
+        }
+        boolean found = hasLateRows;
+        hasLateRows = false;
+        return found;
+    }
+
     /** Resets the idle connection: the last response on it may not belong to the last call. */
     void resetIdle() {
         if (idleConnection != null) {
--- a/src/main/java/junipercourse/engine/EngineAttempt.java
+++ b/src/main/java/junipercourse/engine/EngineAttempt.java
@@ -218,20 +218,29 @@
         liveness.recordResponse();
         okResponse = response;
         if (pages.addFirst(response)) {
-            new ResultPageFetcher(query, pages, connections, liveness, counters, this::onFetched)
-                    .fetchNext();
+            new ResultPageFetcher(
+                            query, pages, connections, liveness, counters, new PagesListener())
+                    .start();
         } else {
             handleMalformed();
         }
     }
 
-    private void onFetched(boolean isComplete) {
-        if (isComplete) {
-            finish(completions.served(okResponse, pages));
-        } else if (liveness.mayHaveExpiredUnpolled()) {
-            finishNotPolled();
-        } else {
-            finish(completions.notServed(ERROR, okResponse));
+    private final class PagesListener implements ResultPageFetcher.CompletionListener {
+        @Override
+        public void onFinished(boolean isComplete) {
+            if (isComplete) {
+                finish(completions.served(okResponse, pages));
+            } else if (liveness.mayHaveExpiredUnpolled()) {
+                finishNotPolled();
+            } else {
+                finish(completions.notServed(ERROR, okResponse));
+            }
+        }
+
+        @Override
+        public void onFirstPageIncomplete() {
+            retryPoll(); // the engine repeats a successful result
         }
     }
 
--- a/src/main/java/junipercourse/engine/EngineConnection.java
+++ b/src/main/java/junipercourse/engine/EngineConnection.java
@@ -16,10 +16,15 @@
  * time.
  */
 final class EngineConnection implements Connection.Handler {
+    private static final int STATUS_OK = 200;
+
     /** The attempt that a connection serves. */
     interface Owner {
-        /** The call on the connection is answered; it can carry another one. */
-        void onReusable(EngineConnection connection);
+        /** The call on the connection is answered; see {@link #prepareReuse}. */
+        void onAnswered(EngineConnection connection);
+
+        /** Rows came behind the last response: its declared length was too short. */
+        void onLateRows();
     }
 
     private final EventLoop loop;
@@ -35,6 +40,12 @@
     private final List<HttpCall> unconfirmedCalls = new ArrayList<>();
 
     private boolean hasResponded;
+
+    /** Whether the last response was one that has rows. */
+    private boolean lastHadRows;
+
+    private TrailingBytes trailingBytes = new TrailingBytes();
+    private boolean isReusable = true;
     private boolean isClosed;
 
     EngineConnection(
@@ -51,19 +62,16 @@
     }
 
     /**
-     * Whether the connection can carry another call. It is closed if bytes have arrived since the
-     * last response, since these belong to no call.
+     * Reads what has arrived since the last response, and closes the connection if there was
+     * anything or the engine wants it closed. Returns whether it can carry another call.
      */
-    boolean checkReusable() {
-        if (isClosed) {
-            return false;
-        }
-        if (!connection.isOpenWithoutInput()) {
-            counters.increment(Count.ENGINES_GARBLED);
+    boolean prepareReuse() {
+        connection.readNow();
+        if (!isReusable && !isClosed) {
+            countTrailingBytes();
             close();
-            return false;
         }
-        return true;
+        return !isClosed;
     }
 
     /** Whether the connection is neither closed nor broken. */
@@ -73,6 +81,7 @@
 
     void write(HttpCall nextCall, byte[] request) {
         unconfirmedCalls.add(nextCall);
+        trailingBytes = new TrailingBytes();
         call = nextCall;
         isWritten = false;
         connection.write(request);
@@ -91,47 +100,92 @@
 
     @Override
     public void received(ByteBuffer bytes) {
+        if (call == null) {
+            receiveWithoutCall(bytes);
+            return;
+        }
+        HttpResponse response = null;
         try {
-            HttpResponse response = parser.read(bytes);
-            if (response == null && call != null) {
+            rejectInputBehindRows(bytes);
+            response = parser.read(bytes);
+            if (response == null) {
                 return;
             }
-            if (response == null || call == null) {
-                throw new HttpResponseParser.MalformedResponseException("response without a call");
-            }
-            if (bytes.hasRemaining() && HttpResponseParser.containsRows(bytes)) {
+            trailingBytes.add(bytes);
+            if (trailingBytes.areRows()) {
                 throw new HttpResponseParser.MalformedResponseException(
                         "rows beyond the declared length");
             }
-            completeCall(response, bytes.hasRemaining());
+            completeCall(response);
         } catch (HttpResponseParser.MalformedResponseException e) {
-            counters.increment(Count.ENGINES_GARBLED);
-            Logger.warn(
-                    "engine {}: {}; the connection is closed", pool.engineName(), e.getMessage());
-            connection.close();
-            disconnected(); // fails the call at once, not at its response timeout
+            if (response == null && lastHadRows && parser.isInStatusLine()) {
+                owner.onLateRows(); // what is no response may be more of the rows before it
+            }
+            rejectInput(e.getMessage());
+        }
+    }
+
+    /**
+     * Handles bytes that belong to no call. Behind a response with rows they may be more of these:
+     * then the connection stays open, so that the rest of them can arrive.
+     */
+    private void receiveWithoutCall(ByteBuffer bytes) {
+        trailingBytes.add(bytes);
+        if (lastHadRows && trailingBytes.areRows()) {
+            owner.onLateRows();
+            rejectInput("rows behind a complete response");
+        } else if (lastHadRows) {
+            isReusable = false;
+        } else {
+            rejectInput("response without a call");
+        }
+    }
+
+    private void rejectInput(String reason) {
+        counters.increment(Count.ENGINES_GARBLED);
+        Logger.warn("engine {}: {}; the connection is closed", pool.engineName(), reason);
+        connection.close();
+        disconnected(); // fails the call at once, not at its response timeout
+    }
+
+    /** Rejects bytes that begin no response without waiting for the end of their line. */
+    private void rejectInputBehindRows(ByteBuffer bytes)
+            throws HttpResponseParser.MalformedResponseException {
+        if (lastHadRows && parser.isBetweenResponses() && !TrailingBytes.mayBeginResponse(bytes)) {
+            throw new HttpResponseParser.MalformedResponseException("no response to the call");
         }
     }
 
-    private void completeCall(HttpResponse response, boolean hasTrailingBytes) {
+    private static boolean hasRows(HttpResponse response) {
+        return response.status() == STATUS_OK;
+    }
+
+    private void completeCall(HttpResponse response) {
         HttpCall completedCall = call;
         boolean isUnambiguous = !hasResponded || completedCall.matchesOnlyThisCall(response);
         call = null;
         hasResponded = true;
+        lastHadRows = hasRows(response);
+        isReusable = response.keepAlive() && trailingBytes.isEmpty();
         if (isUnambiguous) { // an engine handles the calls of a connection in order
             endDeliveries();
         }
-        if (hasTrailingBytes) { // a complete response counts, but bytes after it belong to no call
-            counters.increment(Count.ENGINES_GARBLED);
-            close();
-        } else if (response.keepAlive()) {
-            owner.onReusable(this);
+        if (isReusable || lastHadRows) { // more rows may still come behind it
+            owner.onAnswered(this);
         } else {
+            countTrailingBytes();
             close();
         }
         completedCall.complete(response, isUnambiguous);
     }
 
+    /** A complete response counts, but bytes after it belong to no call. */
+    private void countTrailingBytes() {
+        if (!trailingBytes.isEmpty()) {
+            counters.increment(Count.ENGINES_GARBLED);
+        }
+    }
+
     @Override
     public void handlerFailed() {
         counters.increment(Count.INTERNAL_ERRORS);
--- a/src/main/java/junipercourse/engine/HttpResponseParser.java
+++ b/src/main/java/junipercourse/engine/HttpResponseParser.java
@@ -59,6 +59,11 @@
         return state == State.STATUS && lineBuffer.size() == 0;
     }
 
+    /** Whether the status line of the next response has not been accepted yet. */
+    boolean isInStatusLine() {
+        return state == State.STATUS;
+    }
+
     /** Reads bytes until a response is complete and returns it; null if more are needed. */
     HttpResponse read(ByteBuffer input) throws MalformedResponseException {
         int startPosition = input.position();
@@ -73,16 +78,6 @@
         return response;
     }
 
-    /**
-     * Whether the bytes right behind a response are more of its rows: then its declared length was
-     * too short, and the response may look like a complete result. Another response or arbitrary
-     * bytes do not count as rows.
-     */
-    static boolean containsRows(ByteBuffer trailingBytes) {
-        String text = StandardCharsets.ISO_8859_1.decode(trailingBytes.duplicate()).toString();
-        return text.indexOf('\t') >= 0 && !text.startsWith("HTTP/");
-    }
-
     private HttpResponse parse(ByteBuffer input) throws MalformedResponseException {
         while (true) {
             if (state == State.BODY || state == State.CHUNK) {
--- a/src/main/java/junipercourse/engine/ResultPageFetcher.java
+++ b/src/main/java/junipercourse/engine/ResultPageFetcher.java
@@ -12,6 +12,9 @@
     /** Consecutive calls that may fail to return the page. */
     private static final int MAX_FAILURES = 4;
 
+    /** Pages of one result that may turn out to be incomplete. */
+    private static final int MAX_REMOVED_PAGES = 16;
+
     private static final int FIRST_ERROR_STATUS = 400;
 
     private final Query query;
@@ -21,10 +24,15 @@
     private final Counters counters;
     private final CompletionListener listener;
     private int failures;
+    private int removedPages;
 
-    /** Called once, when all pages are fetched or one is lost. */
+    /** Exactly one of its methods is called, once. */
     interface CompletionListener {
+        /** All pages are fetched, or one is lost. */
         void onFinished(boolean isComplete);
+
+        /** Page 0 was incomplete and is removed: it has to be polled again. */
+        void onFirstPageIncomplete();
     }
 
     ResultPageFetcher(
@@ -42,18 +50,56 @@
         this.listener = listener;
     }
 
-    void fetchNext() {
+    /** Starts after page 0 has been added. */
+    void start() {
+        awaitLateRows();
+    }
+
+    /** Gives rows behind the last page the time to arrive, before the page is relied on. */
+    private void awaitLateRows() {
+        connections.schedule(AttemptConnections.REUSE_DELAY_SECONDS, this::confirmLastPage);
+    }
+
+    private void confirmLastPage() {
+        if (connections.takeLateRows()) {
+            removeLastPage();
+            return;
+        }
+        failures = 0;
         if (pages.isComplete()) {
             listener.onFinished(true);
+        } else {
+            fetchNext();
+        }
+    }
+
+    private void fetchNext() {
+        connections.makeCall(
+                EngineRequestEncoder.encodeBodiless("GET", query, "/" + pages.nextNumber()),
+                new PageListener(),
+                false);
+    }
+
+    /** Rows came behind the page added last: the engine still has the whole page. */
+    private void removeLastPage() {
+        removedPages++;
+        pages.removeLast();
+        if (pages.isEmpty()) {
+            listener.onFirstPageIncomplete();
+        } else {
+            retryOrFinish();
+        }
+    }
+
+    private void retryOrFinish() {
+        failures++;
+        if (failures >= MAX_FAILURES || removedPages >= MAX_REMOVED_PAGES) {
+            liveness.recordResponse(); // known to have succeeded, so not expired unpolled
+            listener.onFinished(false);
         } else {
             connections.schedule(
                     failures > 1 ? RETRY_DELAY_SECONDS : AttemptConnections.REUSE_DELAY_SECONDS,
-                    () ->
-                            connections.makeCall(
-                                    EngineRequestEncoder.encodeBodiless(
-                                            "GET", query, "/" + pages.nextNumber()),
-                                    new PageListener(),
-                                    false));
+                    this::fetchNext);
         }
     }
 
@@ -72,8 +118,7 @@
         void handleResponse(HttpResponse response, boolean isUnambiguous) {
             if (pages.addNext(response)) {
                 liveness.recordResponse();
-                failures = 0;
-                fetchNext();
+                awaitLateRows();
             } else if (response.status() >= FIRST_ERROR_STATUS) {
                 listener.onFinished(false); // pages are lost with their engine, or expire unpolled
             } else { // malformed, or a duplicate of a 202 or of another page: the engine has this
@@ -86,12 +131,10 @@
 
         @Override
         void handleFailure() {
-            failures++;
-            if (failures >= MAX_FAILURES) {
-                liveness.recordResponse(); // known to have succeeded, so not expired unpolled
-                listener.onFinished(false);
+            if (connections.takeLateRows()) { // they came while this call was open
+                removeLastPage();
             } else {
-                fetchNext();
+                retryOrFinish();
             }
         }
 
--- a/src/main/java/junipercourse/engine/ResultPages.java
+++ b/src/main/java/junipercourse/engine/ResultPages.java
@@ -78,6 +78,15 @@
         return isValid;
     }
 
+    /** Removes the page added last, which turned out to be incomplete. */
+    void removeLast() {
+        totalBytes -= pages.remove(pages.size() - 1).length;
+    }
+
+    boolean isEmpty() {
+        return pages.isEmpty();
+    }
+
     private void add(byte[] page) {
         totalBytes += page.length;
         pages.add(page);
--- a/src/main/java/junipercourse/net/Connection.java
+++ b/src/main/java/junipercourse/net/Connection.java
@@ -134,16 +134,6 @@
         }
     }
 
-    /** Whether the connection is open and has no unread bytes; bytes that are found are lost. */
-    public boolean isOpenWithoutInput() {
-        try {
-            readBuffer.clear();
-            return !closed && source.read(readBuffer) == 0;
-        } catch (IOException e) {
-            return false;
-        }
-    }
-
     /** Disables reading while a peer sends more than can be processed, and enables it again. */
     public void setReadingEnabled(boolean enabled) {
         if (closed) {
