Read a statement's fields and table group at a bounded cost

Cause: each field became two strings before any was looked at, each message was decoded and copied twice, and each token of a statement became a string, a set and two lookups in lower case.

Change: at most 64 fields; one decoding; the statement is scanned token by token with a window of eight.

Result: QueryFieldParserTest has a case for the limit, which the code before did not have (the case was not run on it: the signature differs).

--- a/src/main/java/junipercourse/pg/CommentScanner.java
+++ b/src/main/java/junipercourse/pg/CommentScanner.java
@@ -11,10 +11,11 @@
     static int endOfComment(String sql, int commentStart) {
         int depth = 0;
         for (int i = commentStart; i + 1 < sql.length(); i++) {
-            if (sql.startsWith("/*", i)) {
+            char c = sql.charAt(i);
+            if (c == '/' && sql.charAt(i + 1) == '*') {
                 depth++;
                 i++;
-            } else if (sql.startsWith("*/", i)) {
+            } else if (c == '*' && sql.charAt(i + 1) == '/') {
                 depth--;
                 i++;
                 if (depth == 0) {
--- a/src/main/java/junipercourse/pg/PgProtocolHandler.java
+++ b/src/main/java/junipercourse/pg/PgProtocolHandler.java
@@ -1,7 +1,5 @@
 package junipercourse.pg;
 
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.List;
 import junipercourse.core.Counters.Count;
 import junipercourse.core.Query;
@@ -100,7 +98,7 @@
             session.closeWithError("08P01", "a query without its end");
             return;
         }
-        String text = new String(body, 0, body.length - 1, StandardCharsets.UTF_8);
+        String text = QueryFieldParser.toText(body, body.length - 1);
         if (text.isBlank()) {
             sendReply(new BackendMessageEncoder().emptyQueryResponse());
             return;
@@ -119,9 +117,7 @@
         }
         Query query;
         try {
-            query =
-                    server.fieldParser()
-                            .parse(Arrays.copyOf(body, body.length - 1), session.arrival());
+            query = server.fieldParser().parse(text, session.arrival());
         } catch (InvalidQueryFieldException e) {
             server.counters().increment(Count.QUERIES_MALFORMED);
             sendReply(errorResponse("22023", e.getMessage()));
--- a/src/main/java/junipercourse/pg/QueryFieldParser.java
+++ b/src/main/java/junipercourse/pg/QueryFieldParser.java
@@ -17,6 +17,9 @@
     /** Keeps the statement's bytes in any encoding. Everything that is parsed here is ASCII. */
     private static final Charset BYTE_PRESERVING = StandardCharsets.ISO_8859_1;
 
+    /** Fields of one statement, known or not. */
+    private static final int MAX_FIELDS = 64;
+
     private static final long NO_ORDER_KEY = 0;
     private static final double TIMEOUT_ROUNDING_FACTOR = 1.02; // clients round their timeouts
     private static final double MAX_WORK_DEADLINES =
@@ -45,9 +48,18 @@
         }
     }
 
-    /** Parses a query; {@code arrival} is the arrival of its last byte. */
-    Query parse(byte[] sql, ArrivalInterval arrival) throws InvalidQueryFieldException {
-        String text = new String(sql, BYTE_PRESERVING);
+    /** Decodes the first bytes of a message so that {@link #parse} keeps them, in any encoding. */
+    static String toText(byte[] bytes, int length) {
+        return new String(bytes, 0, length, BYTE_PRESERVING);
+    }
+
+    /**
+     * Parses a query.
+     *
+     * @param text as decoded by {@link #toText}
+     * @param arrival the arrival of the last byte
+     */
+    Query parse(String text, ArrivalInterval arrival) throws InvalidQueryFieldException {
         int commentStart = 0;
         while (commentStart < text.length() && Character.isWhitespace(text.charAt(commentStart))) {
             commentStart++;
@@ -73,18 +85,32 @@
     private static Map<String, String> parseFields(String comment)
             throws InvalidQueryFieldException {
         Map<String, String> fields = new HashMap<>();
-        for (String assignment : comment.split(",")) {
-            int equalsIndex = assignment.indexOf('=');
-            if (equalsIndex >= 0) {
-                String name = assignment.substring(0, equalsIndex).trim();
-                if (fields.put(name, assignment.substring(equalsIndex + 1).trim()) != null) {
-                    throw new InvalidQueryFieldException(name, "given twice");
-                }
+        int start = 0;
+        for (int count = 0; start <= comment.length(); count++) {
+            if (count == MAX_FIELDS) {
+                throw new InvalidQueryFieldException(
+                        "kind", "not looked for; there are more than " + MAX_FIELDS + " fields");
             }
+            int comma = comment.indexOf(',', start);
+            int end = comma < 0 ? comment.length() : comma;
+            addField(fields, comment.substring(start, end));
+            start = end + 1;
         }
         return fields;
     }
 
+    private static void addField(Map<String, String> fields, String assignment)
+            throws InvalidQueryFieldException {
+        int equalsIndex = assignment.indexOf('=');
+        if (equalsIndex < 0) {
+            return;
+        }
+        String name = assignment.substring(0, equalsIndex).trim();
+        if (fields.put(name, assignment.substring(equalsIndex + 1).trim()) != null) {
+            throw new InvalidQueryFieldException(name, "given twice");
+        }
+    }
+
     private Query buildQuery(Map<String, String> fields, String statement, ArrivalInterval arrival)
             throws InvalidQueryFieldException {
         String className = requireField(fields, "kind");
--- a/src/main/java/junipercourse/pg/TableGroupExtractor.java
+++ b/src/main/java/junipercourse/pg/TableGroupExtractor.java
@@ -1,7 +1,5 @@
 package junipercourse.pg;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 
@@ -9,156 +7,161 @@
  * Extracts a statement's table group: the number after the last underscore in the name of the
  * schema that it reads or writes, such as 17 in {@code sales_17.orders}. Comments, strings, the
  * schema {@code staging} and columns qualified with a table name are ignored.
+ *
+ * <p>One pass over the statement, with a window of a few tokens: its time is linear in the text,
+ * and it creates objects for possible keywords and schemas only.
  */
 final class TableGroupExtractor {
     private static final Set<String> TABLE_KEYWORDS =
             Set.of("from", "join", "into", "update", "table", "using", "only", "copy", "truncate");
+    private static final Set<String> LIST_END_KEYWORDS =
+            Set.of("where", "select", "group", "order", "set", "on");
+    private static final int MIN_KEYWORD_LENGTH = 2;
+    private static final int MAX_KEYWORD_LENGTH = 8;
+
+    /** Of a group's number, which fits an {@code int} then. */
+    private static final int MAX_DIGITS = 9;
+
+    /** Tokens after the first one of a name: two dots and two more parts. */
+    private static final int LOOKAHEAD = 4;
+
+    /** At least the lookahead, the current token and the one before; a power of two. */
+    private static final int WINDOW = 8;
 
     private final String sql;
-    private final List<String> tokens = new ArrayList<>();
-    private int position;
+    private final SqlTokenizer tokenizer;
+    private final int[] starts = new int[WINDOW];
+    private final int[] ends = new int[WINDOW];
+    private final SqlTokenizer.Kind[] kinds = new SqlTokenizer.Kind[WINDOW];
+    private int tokenCount;
+    private boolean inTableList; // a comma continues a table list
+    private boolean isTablePosition; // the next name is that of a table
+    private Float groupOfTable;
+    private Float groupElsewhere;
 
     private TableGroupExtractor(String sql) {
         this.sql = sql;
+        this.tokenizer = new SqlTokenizer(sql);
     }
 
     /** Returns the group, or 0 if the statement names none. */
     static float extractGroup(String sql) {
         TableGroupExtractor extractor = new TableGroupExtractor(sql);
-        extractor.tokenize();
-        Float groupAfterKeyword = extractor.findGroup(true);
-        Float group = groupAfterKeyword == null ? extractor.findGroup(false) : groupAfterKeyword;
+        extractor.scan();
+        Float group =
+                extractor.groupOfTable == null ? extractor.groupElsewhere : extractor.groupOfTable;
         return group == null ? 0 : group;
     }
 
-    private Float findGroup(boolean afterKeyword) {
-        boolean inTableList = false; // a comma continues a table list
-        for (int i = 0; i + 2 < tokens.size(); i++) {
-            boolean qualified =
-                    isIdentifier(i)
-                            && tokens.get(i + 1).equals(".")
-                            && isIdentifier(i + 2)
-                            && (i == 0 || !tokens.get(i - 1).equals("."));
-            String previousToken = i == 0 ? "" : tokens.get(i - 1);
-            boolean isTablePosition =
-                    TABLE_KEYWORDS.contains(previousToken.toLowerCase(Locale.ROOT))
-                            || previousToken.equals(",") && inTableList;
-            if (qualified && (isTablePosition || !afterKeyword)) {
-                // the first of three parts is the database
-                boolean hasDatabaseName =
-                        i + 4 < tokens.size()
-                                && tokens.get(i + 3).equals(".")
-                                && isIdentifier(i + 4);
-                Float group = groupNumber(unquote(tokens.get(hasDatabaseName ? i + 2 : i)));
-                if (group != null) {
-                    return group;
-                }
+    private void scan() {
+        boolean hasMore = true;
+        for (int index = 0; groupOfTable == null; index++) {
+            while (hasMore && tokenCount <= index + LOOKAHEAD) {
+                hasMore = readToken();
             }
-            String token = tokens.get(i).toLowerCase(Locale.ROOT);
-            if (TABLE_KEYWORDS.contains(token)) {
-                inTableList = true;
-            } else if (Set.of("where", "select", "group", "order", "set", "on", "(")
-                    .contains(token)) {
-                inTableList = false;
+            if (index >= tokenCount) {
+                return;
             }
+            examineName(index);
+            updateTablePosition(index);
         }
-        return null;
     }
 
-    private static Float groupNumber(String schema) {
-        int underscore = schema.lastIndexOf('_');
-        String digits = schema.substring(underscore + 1);
-        boolean isNumber =
-                underscore >= 0
-                        && !digits.isEmpty()
-                        && digits.length() <= 9
-                        && digits.chars().allMatch(c -> c >= '0' && c <= '9');
-        return isNumber ? (Float) (float) Integer.parseInt(digits) : null;
+    private boolean readToken() {
+        if (!tokenizer.next()) {
+            return false;
+        }
+        int slot = tokenCount % WINDOW;
+        starts[slot] = tokenizer.start();
+        ends[slot] = tokenizer.end();
+        kinds[slot] = tokenizer.kind();
+        tokenCount++;
+        return true;
     }
 
-    private boolean isIdentifier(int i) {
-        char c = tokens.get(i).charAt(0);
-        return Character.isLetter(c) || c == '_' || c == '"';
+    /** Looks for a group where a qualified name starts. */
+    private void examineName(int index) {
+        boolean isQualified =
+                isIdentifier(index)
+                        && isCharacter(index + 1, '.')
+                        && isIdentifier(index + 2)
+                        && (index == 0 || !isCharacter(index - 1, '.'));
+        if (!isQualified || !isTablePosition && groupElsewhere != null) {
+            return;
+        }
+        // the first of three parts is the database
+        boolean hasDatabaseName = isCharacter(index + 3, '.') && isIdentifier(index + 4);
+        Float group = groupNumber(hasDatabaseName ? index + 2 : index);
+        if (isTablePosition) {
+            groupOfTable = group;
+        }
+        if (groupElsewhere == null) {
+            groupElsewhere = group;
+        }
     }
 
-    private static String unquote(String token) {
-        return token.startsWith("\"") ? token.substring(1, token.length() - 1) : token;
+    private void updateTablePosition(int index) {
+        String keyword = keywordAt(index);
+        boolean isTableKeyword = keyword != null && TABLE_KEYWORDS.contains(keyword);
+        isTablePosition = isTableKeyword || isCharacter(index, ',') && inTableList;
+        if (isTableKeyword) {
+            inTableList = true;
+        } else if (isCharacter(index, '(')
+                || keyword != null && LIST_END_KEYWORDS.contains(keyword)) {
+            inTableList = false;
+        }
     }
 
-    private void tokenize() {
-        while (position < sql.length()) {
-            char c = sql.charAt(position);
-            if (Character.isWhitespace(c)) {
-                position++;
-            } else if (sql.startsWith("--", position)) {
-                int end = sql.indexOf('\n', position);
-                position = end < 0 ? sql.length() : end + 1;
-            } else if (sql.startsWith("/*", position)) {
-                position = CommentScanner.endOfComment(sql, position);
-            } else if (c == '\'') {
-                boolean escapes =
-                        position > 0
-                                && Character.toLowerCase(sql.charAt(position - 1)) == 'e'
-                                && (position == 1 || !isWordPart(sql.charAt(position - 2)));
-                skipString(escapes);
-            } else if (c == '"') {
-                int tokenStart = position;
-                skipQuoted('"', false);
-                tokens.add(sql.substring(tokenStart, position));
-            } else if (c == '$' && skipDollarQuoted()) {
-                tokens.add("'");
-            } else if (isWordPart(c)) {
-                int tokenStart = position;
-                while (position < sql.length() && isWordPart(sql.charAt(position))) {
-                    position++;
-                }
-                tokens.add(sql.substring(tokenStart, position));
-            } else {
-                tokens.add(String.valueOf(c));
-                position++;
-            }
-        }
+    /** Returns a word that may be a keyword in lower case, or null. */
+    private String keywordAt(int index) {
+        int slot = index % WINDOW;
+        int length = ends[slot] - starts[slot];
+        boolean mayBeKeyword =
+                kinds[slot] == SqlTokenizer.Kind.WORD
+                        && length >= MIN_KEYWORD_LENGTH
+                        && length <= MAX_KEYWORD_LENGTH;
+        return mayBeKeyword
+                ? sql.substring(starts[slot], ends[slot]).toLowerCase(Locale.ROOT)
+                : null;
     }
 
-    private void skipString(boolean escapes) {
-        skipQuoted('\'', escapes);
-        tokens.add("'");
+    private boolean isCharacter(int index, char c) {
+        int slot = index % WINDOW;
+        return index < tokenCount
+                && kinds[slot] == SqlTokenizer.Kind.CHARACTER
+                && sql.charAt(starts[slot]) == c;
     }
 
-    private void skipQuoted(char quote, boolean escapes) {
-        position++;
-        while (position < sql.length()) {
-            char c = sql.charAt(position++);
-            if (escapes && c == '\\') {
-                position++;
-            } else if (c == quote) {
-                if (position >= sql.length() || sql.charAt(position) != quote) {
-                    return;
-                }
-                position++; // a doubled quote is part of the text
-            }
+    private boolean isIdentifier(int index) {
+        if (index >= tokenCount) {
+            return false;
         }
-        position = sql.length();
+        int slot = index % WINDOW;
+        char first = sql.charAt(starts[slot]);
+        return kinds[slot] == SqlTokenizer.Kind.QUOTED_NAME
+                || kinds[slot] == SqlTokenizer.Kind.WORD
+                        && (Character.isLetter(first) || first == '_');
     }
 
-    /** Skips a text quoted as {@code $tag$…$tag$}. Returns false if none starts here. */
-    private boolean skipDollarQuoted() {
-        int i = position + 1;
-        while (i < sql.length() && isWordPart(sql.charAt(i)) && sql.charAt(i) != '$') {
-            i++;
+    /** Returns the number at the end of a schema's name, or null if there is none. */
+    private Float groupNumber(int index) {
+        int slot = index % WINDOW;
+        boolean isQuoted = kinds[slot] == SqlTokenizer.Kind.QUOTED_NAME;
+        int end = ends[slot] - (isQuoted ? 1 : 0);
+        int digitsStart = end;
+        while (digitsStart > starts[slot] && isDigit(sql.charAt(digitsStart - 1))) {
+            digitsStart--;
         }
-        boolean isParameter =
-                Character.isDigit(sql.charAt(Math.min(position + 1, sql.length() - 1)));
-        if (i >= sql.length() || sql.charAt(i) != '$' || isParameter) {
-            return false;
-        }
-        String tag = sql.substring(position, i + 1);
-        int end = sql.indexOf(tag, i + 1);
-        position = end < 0 ? sql.length() : end + tag.length();
-        return true;
+        int digits = end - digitsStart;
+        boolean isNumber =
+                digits > 0
+                        && digits <= MAX_DIGITS
+                        && digitsStart > starts[slot]
+                        && sql.charAt(digitsStart - 1) == '_';
+        return isNumber ? (Float) (float) Integer.parseInt(sql, digitsStart, end, 10) : null;
     }
 
-    private static boolean isWordPart(char c) {
-        return Character.isLetterOrDigit(c) || c == '_' || c == '$';
+    private static boolean isDigit(char c) {
+        return c >= '0' && c <= '9';
     }
 }
--- a/src/test/java/junipercourse/pg/QueryFieldParserTest.java
+++ b/src/test/java/junipercourse/pg/QueryFieldParserTest.java
@@ -17,7 +17,9 @@
     private final QueryFieldParser parser = new QueryFieldParser(SocketTestSupport.settings());
 
     private Query parse(String text) throws InvalidQueryFieldException {
-        return parser.parse(text.getBytes(StandardCharsets.UTF_8), ArrivalInterval.exact(100));
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return parser.parse(
+                QueryFieldParser.toText(bytes, bytes.length), ArrivalInterval.exact(100));
     }
 
     @Test
@@ -50,6 +52,18 @@
                 new String(query.statement(), StandardCharsets.UTF_8));
     }
 
+    /** Guards against heads of thousands of fields, each of which cost time and memory. */
+    @Test
+    void queryWithManyFieldsIsRefused() throws InvalidQueryFieldException {
+        String fields = "kind=check,req=" + ID + ",timeout=5,owner=acme" + ",note".repeat(60);
+        assertEquals("check", parse("/* " + fields + " */ SELECT 1").className());
+        InvalidQueryFieldException refusal =
+                assertThrows(
+                        InvalidQueryFieldException.class,
+                        () -> parse("/* " + fields + ",note */ SELECT 1"));
+        assertTrue(refusal.getMessage().contains("more than 64 fields"), refusal.getMessage());
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
