Divide the event loop's time fairly among sessions with messages

Cause: a session processed all messages of up to eight reads, each with a system call, before any other connection had its turn.

Change: InputScheduler gives messages of clients 30% of the time; beyond it, sessions wait in the order of weighted fair queueing and are not read from. Session gives its bounds on input to SessionInput and its timeouts to SessionTimeouts. Bytes that arrive while reading is stopped are dated from then.

--- a/src/main/java/junipercourse/net/Connection.java
+++ b/src/main/java/junipercourse/net/Connection.java
@@ -142,7 +142,10 @@
         if (enabled && !source.isReadResumed()) {
             assumeUnread(Double.isNaN(unreadSince) ? loop.arrival().earliest() : unreadSince);
             source.resumeReads();
-        } else if (!enabled) {
+        } else if (!enabled && source.isReadResumed()) {
+            if (Double.isNaN(unreadSince)) { // what arrives from now on stays unread
+                unreadSince = loop.arrival().earliest();
+            }
             source.suspendReads();
         }
     }
--- a/src/main/java/junipercourse/pg/FrontendMessageDecoder.java
+++ b/src/main/java/junipercourse/pg/FrontendMessageDecoder.java
@@ -57,12 +57,34 @@
         return extract(1, MAX_MESSAGE_BYTES, 4);
     }
 
+    /** Whether {@link #nextStartupPacket} would return a packet or fail. */
+    boolean hasStartupPacket() {
+        return hasMessage(0, MAX_STARTUP_BYTES);
+    }
+
+    /** Whether {@link #nextMessage} would return a message or fail. */
+    boolean hasMessage() {
+        return hasMessage(1, MAX_MESSAGE_BYTES);
+    }
+
+    private boolean hasMessage(int typeBytes, int maxLength) {
+        if (bufferedBytes() < typeBytes + 4) {
+            return false;
+        }
+        long length = nextLength(typeBytes);
+        return length > maxLength || bufferedBytes() >= typeBytes + length;
+    }
+
+    private long nextLength(int typeBytes) {
+        return ByteBuffer.wrap(buffer).getInt(readIndex + typeBytes) & 0xffffffffL;
+    }
+
     private Message extract(int typeBytes, int maxLength, int minLength)
             throws MalformedMessageException {
         if (bufferedBytes() < typeBytes + 4) {
             return null;
         }
-        long length = ByteBuffer.wrap(buffer).getInt(readIndex + typeBytes) & 0xffffffffL;
+        long length = nextLength(typeBytes);
         if (length < minLength || length > maxLength) {
             throw new MalformedMessageException("a message of " + length + " bytes");
         }
--- /dev/null
+++ b/src/main/java/junipercourse/pg/InputScheduler.java
@@ -0,0 +1,119 @@
+package junipercourse.pg;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import junipercourse.net.EventLoop;
+
+/**
+ * Divides a share of the event loop's time among the sessions whose clients have sent messages, so
+ * that no number of clients that write at full speed keeps the loop from others.
+ *
+ * <p>While there is time, messages are processed as they arrive. Otherwise sessions wait here, and
+ * nothing is read from them; the order is that of weighted fair queueing with equal weights: each
+ * message has a virtual finish time, which grows with what its session has sent before, and the
+ * lowest one is next. A session with few small messages so waits for hardly any other.
+ */
+final class InputScheduler {
+    /** Share of the elapsed time that messages may take. */
+    private static final double TIME_SHARE = 0.3;
+
+    private static final double MAX_AVAILABLE_SECONDS = 0.005;
+    private static final double SLICE_INTERVAL_SECONDS = 0.001;
+
+    /** Longest time taken off for one message; the process may have been paused meanwhile. */
+    private static final double MAX_COST_SECONDS = 0.02;
+
+    private static final double EXPECTED_MESSAGE_SECONDS = 20e-6;
+    private static final double EXPECTED_BYTE_SECONDS = 0.1e-6;
+
+    private final EventLoop loop;
+    private final PriorityQueue<WaitingSession> queue =
+            new PriorityQueue<>(
+                    Comparator.comparingDouble(WaitingSession::virtualFinish)
+                            .thenComparingLong(WaitingSession::sequence));
+    private double availableSeconds = MAX_AVAILABLE_SECONDS;
+    private double refilledAt;
+    private double virtualTime;
+    private long nextSequence;
+    private boolean isSliceScheduled;
+
+    /** A session that waits for its turn. */
+    private record WaitingSession(
+            Session session, double virtualStart, double virtualFinish, long sequence) {}
+
+    /** What one session has taken of the time. */
+    static final class Usage {
+        private double virtualFinish;
+    }
+
+    InputScheduler(EventLoop loop) {
+        this.loop = loop;
+        refilledAt = loop.now();
+    }
+
+    /** Whether a message may be processed without waiting. */
+    boolean hasCapacity() {
+        refill();
+        return queue.isEmpty() && availableSeconds > 0;
+    }
+
+    private void refill() {
+        double now = loop.now();
+        availableSeconds =
+                Math.min(MAX_AVAILABLE_SECONDS, availableSeconds + (now - refilledAt) * TIME_SHARE);
+        refilledAt = now;
+    }
+
+    /** Records a processed message of a session. */
+    void recordProcessed(Usage usage, int messageBytes, double startedAt) {
+        availableSeconds -= Math.min(MAX_COST_SECONDS, loop.now() - startedAt);
+        double cost = expectedSeconds(messageBytes);
+        usage.virtualFinish = Math.max(virtualTime, usage.virtualFinish) + cost;
+        virtualTime += cost / (queue.size() + 1);
+    }
+
+    /**
+     * Adds a session, whose {@link Session#processDeferred} is called later, once.
+     *
+     * @param bufferedBytes of its next message and what has come behind it
+     */
+    void enqueue(Session session, Usage usage, int bufferedBytes) {
+        double virtualStart = Math.max(virtualTime, usage.virtualFinish);
+        queue.add(
+                new WaitingSession(
+                        session,
+                        virtualStart,
+                        virtualStart + expectedSeconds(bufferedBytes),
+                        nextSequence++));
+        scheduleSlice();
+    }
+
+    /** Removes a session that has been closed, if it waits. */
+    void remove(Session session) {
+        queue.removeIf(waiting -> waiting.session() == session);
+    }
+
+    private static double expectedSeconds(int bytes) {
+        return EXPECTED_MESSAGE_SECONDS + bytes * EXPECTED_BYTE_SECONDS;
+    }
+
+    private void scheduleSlice() {
+        if (!isSliceScheduled) {
+            isSliceScheduled = true;
+            loop.scheduleAfter(SLICE_INTERVAL_SECONDS, this::runSlice);
+        }
+    }
+
+    private void runSlice() {
+        isSliceScheduled = false;
+        refill();
+        while (!queue.isEmpty() && availableSeconds > 0) {
+            WaitingSession next = queue.poll();
+            virtualTime = Math.max(virtualTime, next.virtualStart());
+            next.session().processDeferred();
+        }
+        if (!queue.isEmpty()) {
+            scheduleSlice();
+        }
+    }
+}
--- a/src/main/java/junipercourse/pg/PgProtocolHandler.java
+++ b/src/main/java/junipercourse/pg/PgProtocolHandler.java
@@ -29,21 +29,19 @@
         return hasOpenQuery;
     }
 
-    /** Handles one packet or message. Returns false if more bytes are needed. */
-    boolean handleNext(FrontendMessageDecoder decoder)
+    /** Whether a whole packet or message is buffered, or bytes that are none. */
+    boolean hasNext(FrontendMessageDecoder decoder) {
+        return started ? decoder.hasMessage() : decoder.hasStartupPacket();
+    }
+
+    /** Handles one packet or message, if {@link #hasNext}. */
+    void handleNext(FrontendMessageDecoder decoder)
             throws FrontendMessageDecoder.MalformedMessageException {
-        if (!started) {
-            FrontendMessageDecoder.Message message = decoder.nextStartupPacket();
-            if (message != null) {
-                handleStartupPacket(StartupPacket.parse(message.body()));
-            }
-            return message != null;
-        }
-        FrontendMessageDecoder.Message message = decoder.nextMessage();
-        if (message != null) {
-            handleMessage(message);
+        if (started) {
+            handleMessage(decoder.nextMessage());
+        } else {
+            handleStartupPacket(StartupPacket.parse(decoder.nextStartupPacket().body()));
         }
-        return message != null;
     }
 
     private void handleStartupPacket(StartupPacket packet) {
--- a/src/main/java/junipercourse/pg/PgServer.java
+++ b/src/main/java/junipercourse/pg/PgServer.java
@@ -36,6 +36,7 @@
     private final double maxRetryAfterSeconds;
     private final ConnectionSlots connectionSlots;
     private final StatusTables statusTables;
+    private final InputScheduler inputScheduler;
     private AcceptingChannel<StreamConnection> listener;
     private boolean sharesSocket;
     private boolean siblingRunning;
@@ -65,6 +66,7 @@
         this.counters = counters;
         this.fieldParser = new QueryFieldParser(settings);
         this.connectionSlots = new ConnectionSlots(loop, share);
+        this.inputScheduler = new InputScheduler(loop);
         this.statusTables = statusTables;
         this.maxRetryAfterSeconds =
                 settings.limits().retryAfterAllowed()
@@ -219,6 +221,10 @@
         return connectionSlots;
     }
 
+    InputScheduler inputScheduler() {
+        return inputScheduler;
+    }
+
     StatusTables statusTables() {
         return statusTables;
     }
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -4,6 +4,7 @@
 import junipercourse.core.Counters.Count;
 import junipercourse.liveness.ArrivalInterval;
 import junipercourse.net.Connection;
+import org.tinylog.Logger;
 import org.xnio.StreamConnection;
 
 /**
@@ -12,30 +13,21 @@
  * bytes. The server owns the session and its slot.
  */
 final class Session implements Connection.Handler {
-    private static final int TYPICAL_QUERY_BYTES = 4 * 1024; // exempt from the shared limit
-    private static final int MAX_PIPELINED_BYTES = 16 * 1024; // sent during a query
-    private static final int MAX_DISCARDED_BYTES = 1 << 20; // sent beyond those
     private static final int MAX_UNSENT_BYTES = 64 * 1024; // of unread results
-    private static final double REJECTION_TIMEOUT_SECONDS = 0.3; // until start-up
-    private static final double FIRST_QUERY_TIMEOUT_SECONDS = 2.4; // from connecting
-    private static final double MESSAGE_TIMEOUT_SECONDS = 2.0; // first to last byte
-    private static final double WRITE_TIMEOUT_SECONDS = 3.0; // without any progress
+
+    /** Messages processed ahead of their turn to find a query that is the client's next one. */
+    private static final int MAX_PENDING_MESSAGES = 16;
 
     private final PgServer server;
     private final PgProtocolHandler protocol;
-    private final FrontendMessageDecoder decoder = new FrontendMessageDecoder();
+    private final SessionInput input;
+    private final InputScheduler.Usage inputUsage = new InputScheduler.Usage();
     private final Connection connection;
     final int secret;
     long slot;
-    // In responsive seconds, so that a stall of this process does not count against the client.
-    private final double connectedAt;
-    private double idleSince;
-    private double incompleteSince = Double.POSITIVE_INFINITY;
-    private double lastWriteProgress;
+    private final SessionTimeouts timeouts;
     private ArrivalInterval arrival;
-    private long previousUnsentBytes;
-    private int reportedBufferedBytes;
-    private long discardedBytes;
+    private boolean isInputDeferred;
     private boolean isRejected;
     private boolean hasQueried;
     private boolean closed;
@@ -44,9 +36,8 @@
         this.server = server;
         this.secret = secret;
         this.protocol = new PgProtocolHandler(server, this);
-        connectedAt = server.loop().responsiveSeconds();
-        idleSince = connectedAt;
-        lastWriteProgress = connectedAt;
+        this.input = new SessionInput(server);
+        this.timeouts = new SessionTimeouts(server.loop().responsiveSeconds());
         this.connection = new Connection(server.loop(), streamConnection, this);
     }
 
@@ -59,118 +50,140 @@
         return isRejected;
     }
 
-    /** Returns when the last query ended, or infinity before the first and during a query. */
+    /**
+     * Returns when the last query ended, or infinity before the first, during a query and while
+     * messages wait for their turn.
+     */
     double idleSince() {
-        return protocol.hasOpenQuery() || !hasQueried || closed
+        return protocol.hasOpenQuery() || isInputDeferred || !hasQueried || closed
                 ? Double.POSITIVE_INFINITY
-                : idleSince;
+                : timeouts.idleSince();
     }
 
     /** Returns when the client connected, or infinity after its first query. */
     double unusedSince() {
-        return hasQueried || closed ? Double.POSITIVE_INFINITY : connectedAt;
+        return hasQueried || closed ? Double.POSITIVE_INFINITY : timeouts.connectedAt();
     }
 
     /** Closes the session if its client did not query, finish a message or read in time. */
     void closeIfExpired(double now, double maxIdleSeconds) {
-        if (connection.unsentBytes() == 0 || connection.unsentBytes() != previousUnsentBytes) {
-            lastWriteProgress = now;
-            previousUnsentBytes = connection.unsentBytes();
-        }
-        if (now > lastWriteProgress + WRITE_TIMEOUT_SECONDS) {
+        timeouts.recordUnsentBytes(connection.unsentBytes(), now);
+        if (timeouts.isWriteOverdue(now)) {
             closeImmediately(); // it would not read the error either
-        } else if (isRejected && now > connectedAt + REJECTION_TIMEOUT_SECONDS) {
+        } else if (isRejected && timeouts.isRejectionOverdue(now)) {
             closeWithError("53300", "too many clients");
-        } else if (now > unusedSince() + FIRST_QUERY_TIMEOUT_SECONDS) {
+        } else if (!hasQueried && !closed && timeouts.isFirstQueryOverdue(now)) {
             closeWithError("57014", "no query came in time");
-        } else if (!protocol.hasOpenQuery() && now > incompleteSince + MESSAGE_TIMEOUT_SECONDS) {
+        } else if (!protocol.hasOpenQuery() && timeouts.isMessageOverdue(now)) {
             closeWithError("08P01", "a message without its end");
         } else if (now > idleSince() + maxIdleSeconds) {
             connection.readNow();
             boolean hasPartialMessage =
-                    connection.unsentBytes() > 0 || decoder.bufferedBytes() > 0; // result or query
+                    connection.unsentBytes() > 0 || input.bufferedBytes() > 0; // result or query
             if (now > idleSince() + maxIdleSeconds && !hasPartialMessage) {
                 closeWithError("57P05", "closed after being idle");
             }
         }
     }
 
-    /** Reads a query that has arrived, so that the session is not closed as idle before it. */
+    /**
+     * Processes what has arrived, also if it waits for its turn, so that the session is not closed
+     * as idle before it, and a cancellation finds its query.
+     */
     void readPending() {
+        processInput(MAX_PENDING_MESSAGES);
         connection.readNow();
+        processInput(MAX_PENDING_MESSAGES);
     }
 
     @Override
     public void received(ByteBuffer bytes) {
-        idleSince = server.loop().responsiveSeconds();
+        timeouts.recordActivity(server.loop().responsiveSeconds());
         arrival = connection.arrival();
-        decoder.append(discardExcess(bytes));
-        if (discardedBytes > MAX_DISCARDED_BYTES) {
+        input.append(bytes, protocol.hasOpenQuery());
+        if (input.hasExcess()) {
             closeForExcessInput();
         } else {
             processInput();
         }
     }
 
-    /**
-     * Discards what exceeds the limit for bytes sent during a query. Reading goes on, since only
-     * that detects a disconnect and cancels the query. After a discard the session is closed later.
-     */
-    private ByteBuffer discardExcess(ByteBuffer bytes) {
-        if (discardedBytes > 0 || protocol.hasOpenQuery()) {
-            int capacity =
-                    discardedBytes > 0
-                            ? 0
-                            : Math.max(0, MAX_PIPELINED_BYTES - decoder.bufferedBytes());
-            int excessBytes = Math.max(0, bytes.remaining() - capacity);
-            discardedBytes += excessBytes;
-            bytes.limit(bytes.limit() - excessBytes);
-        }
-        return bytes;
-    }
-
     private void closeForExcessInput() {
         server.counters().increment(Count.CLIENTS_GARBLED);
         closeWithError("08P01", "too much was sent ahead of an answer");
     }
 
+    /** Processes messages while the scheduler has time for them. */
     private void processInput() {
+        processInput(0);
+    }
+
+    /** Processes at least one message that has waited for its turn in the scheduler. */
+    void processDeferred() {
+        isInputDeferred = false;
         try {
-            boolean progressed = true;
-            while (progressed
-                    && !protocol.hasOpenQuery()
-                    && !closed
-                    && connection.unsentBytes() <= MAX_UNSENT_BYTES) {
-                progressed = protocol.handleNext(decoder);
-            }
-            incompleteSince =
-                    decoder.bufferedBytes() == 0 || protocol.hasOpenQuery()
-                            ? Double.POSITIVE_INFINITY
-                            : Math.min(incompleteSince, server.loop().responsiveSeconds());
-            int growth = decoder.bufferedBytes() - reportedBufferedBytes;
-            reportedBufferedBytes = decoder.bufferedBytes();
-            // Limits memory if many clients each send most of a large message.
-            if (!closed
-                    && !server.addBufferedBytes(growth)
-                    && decoder.bufferedBytes() > TYPICAL_QUERY_BYTES) {
-                closeWithError("53200", "too much is held for unfinished messages");
-                return;
+            processInput(1);
+        } catch (RuntimeException | StackOverflowError e) {
+            Logger.error(e, "a message could not be processed; the connection is closed");
+            connection.close();
+            handlerFailed();
+        }
+    }
+
+    private void processInput(int messagesBeforeTurn) {
+        int beforeTurn = messagesBeforeTurn;
+        try {
+            while (canProcess() && (server.inputScheduler().hasCapacity() || beforeTurn-- > 0)) {
+                handleNextMessage();
             }
-            if (discardedBytes > 0 && !progressed && !protocol.hasOpenQuery() && !closed) {
-                closeForExcessInput(); // all complete messages have been answered
-                return;
+            if (!closed) {
+                adjustReading();
             }
-            connection.setReadingEnabled(
-                    protocol.hasOpenQuery()
-                            || discardedBytes > 0
-                            || decoder.bufferedBytes()
-                                    < FrontendMessageDecoder.MAX_MESSAGE_BYTES + 5);
         } catch (FrontendMessageDecoder.MalformedMessageException e) {
             server.counters().increment(Count.CLIENTS_GARBLED);
             closeWithError("08P01", e.getMessage());
         }
     }
 
+    private boolean canProcess() {
+        return !closed
+                && !protocol.hasOpenQuery()
+                && connection.unsentBytes() <= MAX_UNSENT_BYTES
+                && protocol.hasNext(input.decoder());
+    }
+
+    private void handleNextMessage() throws FrontendMessageDecoder.MalformedMessageException {
+        int bytesBefore = input.bufferedBytes();
+        double startedAt = server.loop().now();
+        protocol.handleNext(input.decoder());
+        server.inputScheduler()
+                .recordProcessed(inputUsage, bytesBefore - input.bufferedBytes(), startedAt);
+    }
+
+    /** Reads on, waits for its turn with what is left, or closes the session for it. */
+    private void adjustReading() {
+        boolean mustWait = canProcess();
+        if (mustWait && !isInputDeferred) {
+            isInputDeferred = true;
+            server.inputScheduler().enqueue(this, inputUsage, input.bufferedBytes());
+        }
+        timeouts.recordIncomplete(
+                input.bufferedBytes() > 0 && !protocol.hasOpenQuery() && !mustWait,
+                server.loop().responsiveSeconds());
+        if (!input.reportHeldBytes()) {
+            closeWithError("53200", "too much is held for unfinished messages");
+        } else if (input.hasDiscarded()
+                && !protocol.hasOpenQuery()
+                && !protocol.hasNext(input.decoder())) {
+            closeForExcessInput(); // all complete messages have been answered
+        } else {
+            connection.setReadingEnabled(
+                    protocol.hasOpenQuery()
+                            || input.hasDiscarded()
+                            || !mustWait && input.hasRoom());
+        }
+    }
+
     /** Resumes processing after the client has read its results. */
     @Override
     public void flushed() {
@@ -185,7 +198,7 @@
     /** A query is complete: bytes held from now on belong to the next message. */
     void onQueryReceived() {
         hasQueried = true;
-        incompleteSince = Double.POSITIVE_INFINITY;
+        timeouts.recordIncomplete(false, server.loop().responsiveSeconds());
     }
 
     void cancelQuery() {
@@ -198,7 +211,7 @@
 
     /** Sends the result of the query that was open. */
     void sendResponse(byte[] bytes) {
-        idleSince = server.loop().responsiveSeconds();
+        timeouts.recordActivity(server.loop().responsiveSeconds());
         connection.write(bytes);
         server.loop().execute(this::processInput); // the next query may have arrived already
     }
@@ -247,7 +260,10 @@
     /** Releases the held bytes, the open query and the slot, once. Every close ends here. */
     private void release() {
         closed = true;
-        server.addBufferedBytes(-reportedBufferedBytes);
+        input.release();
+        if (isInputDeferred) {
+            server.inputScheduler().remove(this);
+        }
         protocol.onSessionClosed();
         server.connectionSlots().remove(this);
     }
--- a/src/test/java/junipercourse/DispatcherProcess.java
+++ b/src/test/java/junipercourse/DispatcherProcess.java
@@ -74,16 +74,42 @@
     /** Starts the packaged program after a shell command. */
     public static DispatcherProcess startDeployed(Path log, Path config, String shellPrefix)
             throws IOException {
+        return new DispatcherProcess(log, config, shellPrefix + deployedCommand());
+    }
+
+    /**
+     * Starts the classes under test with the JVM options of the deploy file's command line, and so
+     * its limits of memory. The jar is not built yet while tests run.
+     */
+    public static DispatcherProcess startWithDeployedOptions(Path log, Path config)
+            throws IOException {
+        String command =
+                deployedCommand()
+                        .replaceFirst("-XX:SharedArchiveFile=\\S+", "")
+                        .replace(
+                                "-jar target/junipercourse.jar",
+                                "-cp '" + classPath() + "' junipercourse.cli.Main");
+        return new DispatcherProcess(log, config, command);
+    }
+
+    private static String deployedCommand() throws IOException {
         String runLine =
                 Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                         .filter(line -> line.startsWith("run = "))
                         .findFirst()
                         .orElseThrow();
-        return new DispatcherProcess(
-                log,
-                config,
-                shellPrefix
-                        + runLine.substring(runLine.indexOf('"') + 1, runLine.lastIndexOf('"')));
+        return runLine.substring(runLine.indexOf('"') + 1, runLine.lastIndexOf('"'));
+    }
+
+    /** The most memory that the process has had resident so far, in bytes. */
+    public long peakResidentBytes() throws IOException {
+        String line =
+                readProcFile("status")
+                        .lines()
+                        .filter(each -> each.startsWith("VmHWM:"))
+                        .findFirst()
+                        .orElseThrow();
+        return Long.parseLong(line.replaceAll("\\D", "")) * 1024;
     }
 
     /** Reads a file of the process under {@code /proc}, such as {@code stat} or {@code maps}. */
