Refuse an id that comes again after its client has left

Cause: an id was freed with its query; by the protocol it never comes again, and nothing checked that.

DepartedClientTest plays closes with unread bytes.

Open: an id that comes again at the other process.

--- a/src/main/java/junipercourse/core/Gateway.java
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -48,7 +48,7 @@
         this.settings = settings;
         this.counters = counters;
         this.metrics = new ClassMetrics(settings.queryClasses().size());
-        this.queries = new OpenQueries(loop, counters, metrics);
+        this.queries = new OpenQueries(loop, counters, metrics, settings.queryClasses());
         this.module = new TagsDispatcher(settings, seed, this);
         module.limitOpenRequests(maxOpenQueries);
         this.keyOrderGate =
@@ -68,7 +68,8 @@
 
     /**
      * Submits a query; its handler is called later. Returns the id for {@link #abandon}; 0 if one
-     * of the same client id, by which engines know it, is open or has an attempt running.
+     * of the same client id, by which engines know it, is open or has an attempt running, or was
+     * abandoned by its client and may have had an effect.
      */
     public long submit(Query query, ResponseHandler responseHandler) {
         InFlightQuery inFlight = queries.register(query, responseHandler);
@@ -89,6 +90,14 @@
         return inFlight.id;
     }
 
+    /**
+     * Whether {@link #submit} refuses this query because one of its id was abandoned by its client
+     * and may have had an effect.
+     */
+    public boolean wasAbandoned(Query query) {
+        return queries.wasAbandoned(query);
+    }
+
     private boolean isOrderedByKey(Query query) {
         return query.orderKey() != 0
                 && settings.queryClasses().get(query.queryClass()).orderedByKey();
--- a/src/main/java/junipercourse/core/InFlightQuery.java
+++ b/src/main/java/junipercourse/core/InFlightQuery.java
@@ -13,6 +13,7 @@
     int attemptCount;
     int unsentAttemptCount;
     boolean isAnswered;
+    boolean isAbandoned;
 
     InFlightQuery(Query query, ResponseHandler responseHandler) {
         this.query = query;
--- a/src/main/java/junipercourse/core/OpenQueries.java
+++ b/src/main/java/junipercourse/core/OpenQueries.java
@@ -5,6 +5,8 @@
 import java.util.Locale;
 import java.util.Set;
 import junipercourse.core.Counters.Count;
+import junipercourse.decision.api.Idempotency;
+import junipercourse.decision.api.QueryClass;
 import junipercourse.net.EventLoop;
 
 /** The open queries. Each gets exactly one final answer here, and is counted where it gets it. */
@@ -12,22 +14,31 @@
     private final EventLoop loop;
     private final Counters counters;
     private final ClassMetrics classMetrics;
+    private final List<QueryClass> queryClasses;
     private final SlotTable<InFlightQuery> queries = new SlotTable<>();
     private final Set<String> idsInUse = new HashSet<>();
+    private final AbandonedIds abandonedIds = new AbandonedIds();
     private int openCount;
     private Runnable idleTask;
 
-    OpenQueries(EventLoop loop, Counters counters, ClassMetrics classMetrics) {
+    OpenQueries(
+            EventLoop loop,
+            Counters counters,
+            ClassMetrics classMetrics,
+            List<QueryClass> queryClasses) {
         this.loop = loop;
         this.classMetrics = classMetrics;
         this.counters = counters;
+        this.queryClasses = queryClasses;
     }
 
     /**
-     * Registers a query. Returns null if another one with its id is open or has an attempt running.
+     * Registers a query. Returns null if another one with its id is open or has an attempt running,
+     * or was abandoned by its client and may have had an effect.
      */
     InFlightQuery register(Query query, ResponseHandler responseHandler) {
-        if (!idsInUse.add(normalizedId(query))) {
+        String id = normalizedId(query);
+        if (wasAbandoned(query) || !idsInUse.add(id)) {
             counters.increment(Count.QUERIES_DOUBLED);
             return null;
         }
@@ -38,6 +49,11 @@
         return inFlight;
     }
 
+    /** Whether a query with the id of this one was abandoned and may have had an effect. */
+    boolean wasAbandoned(Query query) {
+        return abandonedIds.contains(normalizedId(query));
+    }
+
     /** Returns the query with that id, or null. */
     InFlightQuery find(long id) {
         return queries.get(id);
@@ -79,6 +95,7 @@
     /** Records that the client has left, so that the query needs no answer. */
     void recordClientLeft(InFlightQuery inFlight) {
         counters.increment(Count.CLIENTS_LEFT);
+        inFlight.isAbandoned = true;
         complete(inFlight);
     }
 
@@ -100,11 +117,21 @@
         if (inFlight.isAnswered
                 && inFlight.currentAttempt == null
                 && queries.get(inFlight.id) == inFlight) {
-            idsInUse.remove(normalizedId(inFlight.query));
+            String id = normalizedId(inFlight.query);
+            idsInUse.remove(id);
             queries.remove(inFlight.id);
+            if (inFlight.isAbandoned && mayHaveHadEffect(inFlight)) {
+                abandonedIds.add(id);
+            }
         }
     }
 
+    private boolean mayHaveHadEffect(InFlightQuery inFlight) {
+        QueryClass queryClass = queryClasses.get(inFlight.query.queryClass());
+        return inFlight.sentAttemptCount() > 0
+                && queryClass.idempotency() != Idempotency.IDEMPOTENT;
+    }
+
     private static String normalizedId(Query query) {
         return query.id().toLowerCase(Locale.ROOT);
     }
--- a/src/main/java/junipercourse/pg/PgProtocolHandler.java
+++ b/src/main/java/junipercourse/pg/PgProtocolHandler.java
@@ -13,6 +13,10 @@
 final class PgProtocolHandler implements ResponseHandler {
     private static final byte[] NO_MESSAGE = {};
 
+    private static final String ID_IS_OPEN = "req: a query of this id is open";
+    private static final String ID_WAS_ABANDONED =
+            "req: a query of this id may have run, and its client has left";
+
     private final PgServer server;
     private final Session session;
     private boolean started;
@@ -124,7 +128,8 @@
         queryHandle = server.gateway().submit(query, this);
         hasOpenQuery = queryHandle != 0;
         if (!hasOpenQuery) {
-            sendReply(errorResponse("55006", "req: a query of this id is open"));
+            boolean wasAbandoned = server.gateway().wasAbandoned(query);
+            sendReply(errorResponse("55006", wasAbandoned ? ID_WAS_ABANDONED : ID_IS_OPEN));
         }
     }
 
