--- a/src/main/java/junipercourse/cli/DispatcherServer.java
+++ b/src/main/java/junipercourse/cli/DispatcherServer.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import junipercourse.config.Config;
 import junipercourse.config.ConfigException;
@@ -25,11 +24,6 @@
 
 /** Builds one dispatcher from its components, starts it and stops it. */
 final class DispatcherServer {
-    /** A predecessor may hold the address; clients connect 30 s after the start at the latest. */
-    private static final double LISTEN_TIMEOUT_SECONDS = 25;
-
-    private static final double LISTEN_RETRY_SECONDS = 0.1;
-
     /** Held by the JVM, the event bus and connections being closed; about 16 were counted. */
     private static final int RESERVED_DESCRIPTORS = 28;
 
@@ -141,16 +135,15 @@
     }
 
     /**
-     * Returns once clients can connect. Waits up to {@value #LISTEN_TIMEOUT_SECONDS} s for a port
-     * in use.
+     * Returns once clients can connect. Waits for a port in use: {@link ListenRetry}.
      *
      * @throws IOException if listening fails; its message has the address and the time waited
      */
     void start() throws IOException {
-        CompletableFuture<Void> started = new CompletableFuture<>();
-        loop.execute(() -> listen(started, loop.now()));
+        ListenRetry listening =
+                new ListenRetry(loop, config.listenAddress(), this::listen, shutdown::hasBegun);
         try {
-            started.get();
+            listening.start().get();
         } catch (ExecutionException e) {
             if (removeShutdownHook()) {
                 stop();
@@ -174,52 +167,16 @@
         return pgServer.address();
     }
 
-    private void listen(CompletableFuture<Void> started, double startTime) {
-        if (shutdown.hasBegun()) {
-            return; // shutting down: whoever waits for the start is exiting too
+    private void listen() throws IOException {
+        if (config.listenFd() == null) {
+            pgServer.listen(config.listenAddress());
+        } else {
+            pgServer.listen(takeOverSocket());
         }
-        double waitedSeconds = loop.now() - startTime;
-        try {
-            if (config.listenFd() == null) {
-                pgServer.listen(config.listenAddress());
-            } else {
-                pgServer.listen(takeOverSocket());
-            }
-            shutdown.onListening();
-            loop.startStallDetection();
-            if (admin != null) {
-                admin.onListening();
-            }
-            if (waitedSeconds >= LISTEN_RETRY_SECONDS) {
-                Logger.info(
-                        "{} was in use for {} ms",
-                        config.listenAddress(),
-                        Math.round(waitedSeconds * 1e3));
-            }
-            started.complete(null);
-        } catch (IOException e) {
-            if (waitedSeconds < LISTEN_TIMEOUT_SECONDS
-                    && PortProbe.isPortInUse(config.listenAddress(), e)) {
-                if (waitedSeconds < LISTEN_RETRY_SECONDS) {
-                    Logger.warn(
-                            "{} is in use; retrying for up to {} s",
-                            config.listenAddress(),
-                            LISTEN_TIMEOUT_SECONDS);
-                }
-                loop.scheduleAfter(LISTEN_RETRY_SECONDS, () -> listen(started, startTime));
-            } else {
-                started.completeExceptionally(
-                        new IOException(
-                                "cannot listen on "
-                                        + config.listenAddress()
-                                        + ": "
-                                        + e.getMessage()
-                                        + "; waited "
-                                        + Math.round(waitedSeconds * 1e3)
-                                        + " ms"));
-            }
-        } catch (RuntimeException e) {
-            started.completeExceptionally(e);
+        shutdown.onListening();
+        loop.startStallDetection();
+        if (admin != null) {
+            admin.onListening();
         }
     }
 
@@ -236,9 +193,7 @@
         new ConfigReloader(loop, endpointWatcher, counters, config, environment).installHandler();
     }
 
-    /**
-     * Shuts down gracefully on SIGTERM. Call it before the start, since clients connect at once.
-     */
+    /** Shuts down gracefully on SIGTERM; to be called before clients can connect. */
     void installShutdownHook() {
         shutdownHook =
                 new Thread(
--- a/src/main/java/junipercourse/engine/AttemptCancellation.java
+++ b/src/main/java/junipercourse/engine/AttemptCancellation.java
@@ -110,14 +110,5 @@
         void handleFailure() {
             connections.schedule(RETRY_DELAY_SECONDS, AttemptCancellation.this::sendDelete);
         }
-
-        /**
-         * Retries, since the engine may merely accept no more connections: completing here would
-         * allow a second attempt beside a running one.
-         */
-        @Override
-        public void onUnreachable(boolean refused) {
-            handleFailure();
-        }
     }
 }
--- a/src/main/java/junipercourse/engine/AttemptCompletionFactory.java
+++ b/src/main/java/junipercourse/engine/AttemptCompletionFactory.java
@@ -6,6 +6,7 @@
 
 /** Creates the completion of an attempt from the response that ended its query. */
 final class AttemptCompletionFactory {
+    private static final int STATUS_FULL = 503;
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final EngineClient.LoadReportReader loadReports;
@@ -24,8 +25,21 @@
                 pages.toList());
     }
 
-    /** An attempt without a result. */
-    AttemptCompletion notServed(AttemptOutcome outcome, HttpResponse response) {
+    /** An attempt that failed; it may have run. */
+    AttemptCompletion failed(HttpResponse response) {
+        return notServed(AttemptOutcome.ERROR, response);
+    }
+
+    /** A response that the engine is full or the request is over; only some say it never ran. */
+    AttemptCompletion notAccepted(HttpResponse response) {
+        if (!"1".equals(response.header("x-unrun"))) {
+            return failed(response);
+        }
+        boolean isFull = response.status() == STATUS_FULL;
+        return notServed(isFull ? AttemptOutcome.REJECTED : AttemptOutcome.OBSOLETE, response);
+    }
+
+    private AttemptCompletion notServed(AttemptOutcome outcome, HttpResponse response) {
         return new AttemptCompletion(outcome, readLoadReport(response), 0, 0, List.of());
     }
 
--- a/src/main/java/junipercourse/engine/AttemptConnections.java
+++ b/src/main/java/junipercourse/engine/AttemptConnections.java
@@ -218,6 +218,15 @@
         /** Handles a call that ended without a readable response. */
         abstract void handleFailure();
 
+        /**
+         * Handled like a broken connection: a live process also refuses connections beyond its own
+         * limit.
+         */
+        @Override
+        public void onUnreachable(boolean refused) {
+            handleFailure();
+        }
+
         /** No connection was available: handled like a broken one. */
         @Override
         public void onWithdrawn() {
--- a/src/main/java/junipercourse/engine/EngineAttempt.java
+++ b/src/main/java/junipercourse/engine/EngineAttempt.java
@@ -2,8 +2,6 @@
 
 import static junipercourse.core.Backend.AttemptCompletion.withOutcome;
 import static junipercourse.decision.api.AttemptOutcome.ERROR;
-import static junipercourse.decision.api.AttemptOutcome.OBSOLETE;
-import static junipercourse.decision.api.AttemptOutcome.REJECTED;
 
 import junipercourse.core.Backend;
 import junipercourse.core.Backend.AttemptCompletion;
@@ -128,11 +126,6 @@
         void handleFailure() {
             retryPoll();
         }
-
-        @Override
-        public void onUnreachable(boolean refused) {
-            retryPoll(); // a live process also refuses connections beyond its own limit
-        }
     }
 
     /**
@@ -173,20 +166,11 @@
      * since any other response ends polling. The call of a duplicate is still in transit.
      */
     private void handleState(HttpResponse response, boolean isTrusted) {
-        boolean mayHaveExpired = liveness.mayHaveExpiredUnpolled();
-        boolean neverRan = "1".equals(response.header("x-unrun"));
         switch (response.status()) {
             case 200 -> handleOk(response);
             case 202 -> handleRunning(isTrusted);
-            case 503 -> finish(completions.notServed(neverRan ? REJECTED : ERROR, response));
-            case 504 -> finish(completions.notServed(neverRan ? OBSOLETE : ERROR, response));
-            case 500 -> {
-                if (mayHaveExpired) {
-                    finishNotPolled();
-                } else {
-                    finish(completions.notServed(ERROR, response));
-                }
-            }
+            case 503, 504 -> finish(completions.notAccepted(response));
+            case 500 -> finishFailed(response);
             default -> handleMalformed(); // 204, say, never answers a poll and proves no completion
         }
     }
@@ -222,10 +206,16 @@
     public void onFinished(boolean isComplete) {
         if (isComplete) {
             finish(completions.served(okResponse, pages));
-        } else if (liveness.mayHaveExpiredUnpolled()) {
+        } else {
+            finishFailed(okResponse);
+        }
+    }
+
+    private void finishFailed(HttpResponse response) {
+        if (liveness.mayHaveExpiredUnpolled()) {
             finishNotPolled();
         } else {
-            finish(completions.notServed(ERROR, okResponse));
+            finish(completions.failed(response));
         }
     }
 
--- a/src/main/java/junipercourse/engine/ResultPageFetcher.java
+++ b/src/main/java/junipercourse/engine/ResultPageFetcher.java
@@ -137,10 +137,5 @@
                 retryOrFinish();
             }
         }
-
-        @Override
-        public void onUnreachable(boolean refused) {
-            handleFailure();
-        }
     }
 }
--- a/src/main/java/junipercourse/pg/CommentScanner.java
+++ b/src/main/java/junipercourse/pg/CommentScanner.java
@@ -11,11 +11,11 @@
     static int endOfComment(String sql, int commentStart) {
         int depth = 0;
         for (int i = commentStart; i + 1 < sql.length(); i++) {
-            char c = sql.charAt(i);
-            if (c == '/' && sql.charAt(i + 1) == '*') {
+            char character = sql.charAt(i);
+            if (character == '/' && sql.charAt(i + 1) == '*') {
                 depth++;
                 i++;
-            } else if (c == '*' && sql.charAt(i + 1) == '/') {
+            } else if (character == '*' && sql.charAt(i + 1) == '/') {
                 depth--;
                 i++;
                 if (depth == 0) {
--- a/src/main/java/junipercourse/pg/InputScheduler.java
+++ b/src/main/java/junipercourse/pg/InputScheduler.java
@@ -39,11 +39,20 @@
 
     /** A session that waits for its turn. */
     private record WaitingSession(
-            Session session, double virtualStart, double virtualFinish, long sequence) {}
+            Session session,
+            Usage usage,
+            double virtualStart,
+            double virtualFinish,
+            long sequence) {}
 
-    /** What one session has taken of the time. */
+    /** What one session has taken of the time, and whether it waits for its turn. */
     static final class Usage {
         private double virtualFinish;
+        private boolean isWaiting;
+
+        boolean isWaiting() {
+            return isWaiting;
+        }
     }
 
     InputScheduler(EventLoop loop) {
@@ -77,15 +86,21 @@
     }
 
     /**
-     * Adds a session, whose {@link Session#processDeferred} is called later, once.
+     * Adds a session, whose {@link Session#processDeferred} is called later, once; ignored for one
+     * that waits already.
      *
      * @param bufferedBytes of its next message and what has come behind it
      */
     void enqueue(Session session, Usage usage, int bufferedBytes) {
+        if (usage.isWaiting) {
+            return;
+        }
+        usage.isWaiting = true;
         double virtualStart = Math.max(virtualTime, usage.virtualFinish);
         queue.add(
                 new WaitingSession(
                         session,
+                        usage,
                         virtualStart,
                         virtualStart + expectedSeconds(bufferedBytes),
                         nextSequence++));
@@ -93,8 +108,10 @@
     }
 
     /** Removes a session that has been closed, if it waits. */
-    void remove(Session session) {
-        queue.removeIf(waiting -> waiting.session() == session);
+    void remove(Usage usage) {
+        if (usage.isWaiting) {
+            queue.removeIf(waiting -> waiting.usage() == usage);
+        }
     }
 
     private static double expectedSeconds(int bytes) {
@@ -113,6 +130,7 @@
         refill();
         while (!queue.isEmpty() && availableSeconds > 0) {
             WaitingSession next = queue.poll();
+            next.usage().isWaiting = false;
             virtualTime = Math.max(virtualTime, next.virtualStart());
             next.session().processDeferred();
         }
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -14,9 +14,7 @@
  */
 final class Session implements Connection.Handler {
     private static final int MAX_UNSENT_BYTES = 64 * 1024; // of unread results
-
-    /** Messages processed ahead of their turn to find a query that is the client's next one. */
-    private static final int MAX_PENDING_MESSAGES = 16;
+    private static final int MAX_PENDING_MESSAGES = 16; // processed before their turn
 
     private final PgServer server;
     private final PgProtocolHandler protocol;
@@ -27,7 +25,6 @@
     long slot;
     private final SessionTimeouts timeouts;
     private ArrivalInterval arrival;
-    private boolean isInputDeferred;
     private boolean isRejected;
     private boolean hasQueried;
     private boolean closed;
@@ -55,7 +52,7 @@
      * messages wait for their turn.
      */
     double idleSince() {
-        return protocol.hasOpenQuery() || isInputDeferred || !hasQueried || closed
+        return protocol.hasOpenQuery() || inputUsage.isWaiting() || !hasQueried || closed
                 ? Double.POSITIVE_INFINITY
                 : timeouts.idleSince();
     }
@@ -116,7 +113,6 @@
 
     /** Processes at least one message that has waited for its turn in the scheduler. */
     void processDeferred() {
-        isInputDeferred = false;
         try {
             processInput(1);
         } catch (RuntimeException | StackOverflowError e) {
@@ -160,8 +156,7 @@
     /** Reads on, waits for its turn with what is left, or closes the session for it. */
     private void adjustReading() {
         boolean mustWait = canProcess();
-        if (mustWait && !isInputDeferred) {
-            isInputDeferred = true;
+        if (mustWait) {
             server.inputScheduler().enqueue(this, inputUsage, input.bufferedBytes());
         }
         timeouts.recordIncomplete(
@@ -187,7 +182,7 @@
         processInput(0);
     }
 
-    /** Returns the arrival of the bytes received last. */
+    /** The arrival of the bytes received last. */
     ArrivalInterval arrival() {
         return arrival;
     }
@@ -248,9 +243,7 @@
     private void release() {
         closed = true;
         input.release();
-        if (isInputDeferred) {
-            server.inputScheduler().remove(this);
-        }
+        server.inputScheduler().remove(inputUsage);
         protocol.onSessionClosed();
         server.connectionSlots().remove(this);
     }
--- a/src/main/java/junipercourse/pg/SqlTokenizer.java
+++ b/src/main/java/junipercourse/pg/SqlTokenizer.java
@@ -52,13 +52,13 @@
 
     private void skipBlanksAndComments() {
         while (position < sql.length()) {
-            char c = sql.charAt(position);
-            if (Character.isWhitespace(c)) {
+            char character = sql.charAt(position);
+            if (Character.isWhitespace(character)) {
                 position++;
-            } else if (c == '-' && isFollowedBy('-')) {
+            } else if (character == '-' && isFollowedBy('-')) {
                 int end = sql.indexOf('\n', position);
                 position = end < 0 ? sql.length() : end + 1;
-            } else if (c == '/' && isFollowedBy('*')) {
+            } else if (character == '/' && isFollowedBy('*')) {
                 position = CommentScanner.endOfComment(sql, position);
             } else {
                 return;
@@ -66,8 +66,8 @@
         }
     }
 
-    private boolean isFollowedBy(char c) {
-        return position + 1 < sql.length() && sql.charAt(position + 1) == c;
+    private boolean isFollowedBy(char character) {
+        return position + 1 < sql.length() && sql.charAt(position + 1) == character;
     }
 
     private Kind scanToken(char first) {
@@ -102,10 +102,10 @@
     private void skipQuoted(char quote, boolean escapes) {
         position++;
         while (position < sql.length()) {
-            char c = sql.charAt(position++);
-            if (escapes && c == '\\') {
+            char character = sql.charAt(position++);
+            if (escapes && character == '\\') {
                 position++;
-            } else if (c == quote) {
+            } else if (character == quote) {
                 if (position >= sql.length() || sql.charAt(position) != quote) {
                     return;
                 }
@@ -132,13 +132,14 @@
         return true;
     }
 
-    private static boolean isWordPart(char c) {
-        boolean isAsciiLetter = c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z';
-        boolean isAsciiDigit = c >= '0' && c <= '9';
+    private static boolean isWordPart(char character) {
+        boolean isAsciiLetter =
+                character >= 'a' && character <= 'z' || character >= 'A' && character <= 'Z';
+        boolean isAsciiDigit = character >= '0' && character <= '9';
         return isAsciiLetter
                 || isAsciiDigit
-                || c == '_'
-                || c == '$'
-                || c > MAX_ASCII && Character.isLetterOrDigit(c);
+                || character == '_'
+                || character == '$'
+                || character > MAX_ASCII && Character.isLetterOrDigit(character);
     }
 }
--- a/src/main/java/junipercourse/pg/TableGroupExtractor.java
+++ b/src/main/java/junipercourse/pg/TableGroupExtractor.java
@@ -125,11 +125,11 @@
                 : null;
     }
 
-    private boolean isCharacter(int index, char c) {
+    private boolean isCharacter(int index, char character) {
         int slot = index % WINDOW;
         return index < tokenCount
                 && kinds[slot] == SqlTokenizer.Kind.CHARACTER
-                && sql.charAt(starts[slot]) == c;
+                && sql.charAt(starts[slot]) == character;
     }
 
     private boolean isIdentifier(int index) {
@@ -161,7 +161,7 @@
         return isNumber ? (Float) (float) Integer.parseInt(sql, digitsStart, end, 10) : null;
     }
 
-    private static boolean isDigit(char c) {
-        return c >= '0' && c <= '9';
+    private static boolean isDigit(char character) {
+        return character >= '0' && character <= '9';
     }
 }
--- a/src/test/java/junipercourse/ArchitectureTest.java
+++ b/src/test/java/junipercourse/ArchitectureTest.java
@@ -38,11 +38,8 @@
     private static final Map<String, Integer> KNOWN_LONG_FILES =
             Map.ofEntries(
                     Map.entry("Config.java", 256),
-                    Map.entry("EngineAttempt.java", 261),
                     Map.entry("EventLoop.java", 261),
                     Map.entry("EndpointWatcher.java", 257),
-                    Map.entry("DispatcherServer.java", 296),
-                    Map.entry("Session.java", 257),
                     Map.entry("SimHost.java", 273));
 
     /**
--- a/src/test/java/junipercourse/QueryStream.java
+++ b/src/test/java/junipercourse/QueryStream.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
-import junipercourse.SocketTestSupport.Client;
 
 /**
  * A steady stream of queries, with checks on each: it gets one answer, and no attempt runs beside
--- a/src/test/java/junipercourse/StubEngines.java
+++ b/src/test/java/junipercourse/StubEngines.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
-import junipercourse.SocketTestSupport.StubEngine;
 
 /** Scripted engines with ids from {@code s-00000001} on, and a configuration that lists them. */
 public final class StubEngines implements Closeable {
--- a/src/test/java/junipercourse/cli/IdleClientFloodTest.java
+++ b/src/test/java/junipercourse/cli/IdleClientFloodTest.java
@@ -19,9 +19,10 @@
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import junipercourse.Client;
 import junipercourse.DispatcherProcess;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.Client;
+import junipercourse.StubEngine;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -55,7 +56,7 @@
             Pattern.compile("most_engines=(\\d+)/(\\d+) most_clients=(\\d+)/(\\d+)");
 
     @TempDir private Path folder;
-    private final List<SocketTestSupport.StubEngine> engines = new ArrayList<>();
+    private final List<StubEngine> engines = new ArrayList<>();
     private final List<SocketChannel> idleChannels = new ArrayList<>();
     private final AtomicBoolean finished = new AtomicBoolean();
     private DispatcherProcess process;
@@ -69,7 +70,7 @@
         for (SocketChannel channel : idleChannels) {
             channel.close();
         }
-        for (SocketTestSupport.StubEngine engine : engines) {
+        for (StubEngine engine : engines) {
             engine.close();
         }
     }
@@ -77,7 +78,7 @@
     private InetSocketAddress start() throws IOException {
         for (int i = 0; i < ENGINES; i++) {
             engines.add(
-                    new SocketTestSupport.StubEngine(
+                    new StubEngine(
                             call -> {
                                 SocketTestSupport.sleepMillis(250);
                                 return call.startsWith("DELETE")
--- a/src/test/java/junipercourse/cli/ManyStarts.java
+++ b/src/test/java/junipercourse/cli/ManyStarts.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import junipercourse.Client;
 import junipercourse.DispatcherProcess;
 import junipercourse.SocketTestSupport;
 import org.junit.jupiter.api.Test;
@@ -113,7 +114,7 @@
 
     /** Waits until the process listens and has answered an empty query as PostgreSQL does. */
     static void awaitEmptyQueryAnswer(DispatcherProcess process) throws IOException {
-        try (SocketTestSupport.Client client = new SocketTestSupport.Client(process.address())) {
+        try (Client client = new Client(process.address())) {
             assertEquals("I", client.startSession().query(" "));
         }
     }
--- a/src/test/java/junipercourse/cli/ProcessTest.java
+++ b/src/test/java/junipercourse/cli/ProcessTest.java
@@ -12,8 +12,10 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import junipercourse.Client;
 import junipercourse.DispatcherProcess;
 import junipercourse.SocketTestSupport;
+import junipercourse.StubEngine;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -30,7 +32,7 @@
     @TempDir private Path folder;
     private ServerSocket oldBus;
     private ServerSocket newBus;
-    private SocketTestSupport.StubEngine engine;
+    private StubEngine engine;
     private DispatcherProcess process;
 
     @BeforeEach
@@ -38,7 +40,7 @@
         oldBus = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
         newBus = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
         engine =
-                new SocketTestSupport.StubEngine(
+                new StubEngine(
                         call -> {
                             SocketTestSupport.sleepMillis(100);
                             return call.startsWith("DELETE")
@@ -124,7 +126,7 @@
         Path nextFolder = Files.createDirectory(folder.resolve("next"));
         try (DispatcherProcess next = new DispatcherProcess(nextFolder, 1024, config, "")) {
             assertEquals(frontAddress.getPort(), next.address().getPort());
-            try (SocketTestSupport.Client client = new SocketTestSupport.Client(frontAddress)) {
+            try (Client client = new Client(frontAddress)) {
                 assertEquals("I", client.startSession().query(" "));
             }
         }
@@ -167,17 +169,15 @@
     @Test
     void sigtermAnswersOpenQueriesBeforeSigkill() throws Exception {
         InetSocketAddress frontAddress = process.address();
-        try (SocketTestSupport.Client openClient = new SocketTestSupport.Client(frontAddress)) {
+        try (Client openClient = new Client(frontAddress)) {
             openClient
                     .startSession()
-                    .write(
-                            SocketTestSupport.Client.queryMessage(
-                                    SocketTestSupport.query("load", 1, 19_000)));
+                    .write(Client.queryMessage(SocketTestSupport.query("load", 1, 19_000)));
             SocketTestSupport.await(() -> engine.countCalls("POST") == 1);
             long startNanos = System.nanoTime();
             process.signal("TERM");
             SocketTestSupport.sleepMillis(300);
-            try (SocketTestSupport.Client lateClient = new SocketTestSupport.Client(frontAddress)) {
+            try (Client lateClient = new Client(frontAddress)) {
                 assertEquals(
                         "I",
                         lateClient.startSession().query(" "),
--- a/src/test/java/junipercourse/cli/RecoveryTest.java
+++ b/src/test/java/junipercourse/cli/RecoveryTest.java
@@ -21,9 +21,10 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import junipercourse.Client;
 import junipercourse.DispatcherProcess;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.Client;
+import junipercourse.StubEngine;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -139,14 +140,14 @@
      */
     private static final class RuleCheckingEngine {
         private static final long WORK_MILLIS = 30;
-        final SocketTestSupport.StubEngine stub;
+        final StubEngine stub;
         private final RuleChecker rules;
         private final Map<String, Long> endsAtMillis = new ConcurrentHashMap<>();
         private final Map<String, Long> polledAtMillis = new ConcurrentHashMap<>();
 
         RuleCheckingEngine(RuleChecker rules) throws IOException {
             this.rules = rules;
-            stub = new SocketTestSupport.StubEngine(this::answer);
+            stub = new StubEngine(this::answer);
             SocketTestSupport.startDaemon(
                     () -> {
                         while (true) {
--- a/src/test/java/junipercourse/cli/ReplacementTest.java
+++ b/src/test/java/junipercourse/cli/ReplacementTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import junipercourse.Client;
 import junipercourse.ListeningSocketHolder;
 import junipercourse.ListeningSocketHolder.InheritingProcess;
 import junipercourse.QueryStream;
@@ -164,12 +165,10 @@
                                         call.startsWith("DELETE")
                                                 ? SocketTestSupport.CANCELLED
                                                 : SocketTestSupport.NO_RESPONSE);
-                SocketTestSupport.Client client =
-                        new SocketTestSupport.Client(listener.address())) {
+                Client client = new Client(listener.address())) {
             listener.writeConfig(silent.dispatcherConfig());
             InheritingProcess process = listener.start().awaitReady();
-            client.startSession()
-                    .write(SocketTestSupport.Client.queryMessage(QueryStream.query("load")));
+            client.startSession().write(Client.queryMessage(QueryStream.query("load")));
             SocketTestSupport.await(() -> silent.countAttempts("") == 1);
             process.signal("TERM");
             process.awaitAnswer(
--- a/src/test/java/junipercourse/cli/UsualClients.java
+++ b/src/test/java/junipercourse/cli/UsualClients.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import junipercourse.Client;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.Client;
 
 /** Clients that send one query after the other, each on a session of its own. */
 final class UsualClients implements Closeable {
--- a/src/test/java/junipercourse/core/AbandonedIdTest.java
+++ b/src/test/java/junipercourse/core/AbandonedIdTest.java
@@ -3,9 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import junipercourse.Client;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.Client;
-import junipercourse.SocketTestSupport.StubEngine;
+import junipercourse.StubEngine;
 import junipercourse.core.Counters.Count;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/junipercourse/engine/AttemptRetryTest.java
+++ b/src/test/java/junipercourse/engine/AttemptRetryTest.java
@@ -20,8 +20,9 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.function.Function;
+import junipercourse.Client;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.StubEngine;
+import junipercourse.StubEngine;
 import junipercourse.core.Counters.Count;
 import junipercourse.decision.api.EngineStage;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -196,8 +197,8 @@
                     1,
                     fault.equals("refused") ? closedEngine : unreachableEngine.endpoint(),
                     EngineStage.READY);
-            SocketTestSupport.Client client = support.connectClient().startSession();
-            client.write(SocketTestSupport.Client.queryMessage(query(queryClass, 1, 7000)));
+            Client client = support.connectClient().startSession();
+            client.write(Client.queryMessage(query(queryClass, 1, 7000)));
             SocketTestSupport.await(() -> support.counters.get(Count.ENDS_UNREACHABLE) >= 1);
             StubEngine workingEngine = support.startEngine(2, call -> OK);
             assertEquals("T D(a b c) C(SELECT 1)", client.readAnswer());
--- a/src/test/java/junipercourse/engine/CancellationTest.java
+++ b/src/test/java/junipercourse/engine/CancellationTest.java
@@ -9,9 +9,9 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
+import junipercourse.Client;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.Client;
-import junipercourse.SocketTestSupport.StubEngine;
+import junipercourse.StubEngine;
 import junipercourse.core.Counters.Count;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/junipercourse/engine/DuplicatingEngine.java
+++ b/src/test/java/junipercourse/engine/DuplicatingEngine.java
@@ -8,12 +8,13 @@
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import junipercourse.SocketTestSupport;
+import junipercourse.StubEngine;
 
 /**
  * An engine that sends responses twice: the duplicate is sent after a delay, or right before the
  * response to the next call on the connection if that comes sooner.
  */
-final class DuplicatingEngine extends SocketTestSupport.StubEngine {
+final class DuplicatingEngine extends StubEngine {
     private final Map<Socket, Copy> pendingCopies = new ConcurrentHashMap<>();
     private final ToLongFunction<String> duplicateDelayMillis;
 
--- a/src/test/java/junipercourse/engine/FullAcceptQueue.java
+++ b/src/test/java/junipercourse/engine/FullAcceptQueue.java
@@ -10,7 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.StubEngine;
+import junipercourse.StubEngine;
 
 /**
  * An engine address at which no connection is established until {@link #drainAndAccept}: the accept
--- a/src/test/java/junipercourse/engine/LateRowsTest.java
+++ b/src/test/java/junipercourse/engine/LateRowsTest.java
@@ -12,7 +12,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.StubEngine;
+import junipercourse.StubEngine;
 import junipercourse.core.Counters.Count;
 import junipercourse.decision.api.EngineStage;
 import org.junit.jupiter.api.AfterEach;
@@ -107,6 +107,15 @@
         return headers.toString();
     }
 
+    private void assertServedCompletely(Function<String, String> script) throws Exception {
+        try (StubEngine engine = new LateRowsEngine(script)) {
+            support.updateEndpointAndWait(1, engine, EngineStage.READY);
+            assertEquals(
+                    SERVED, support.connectClient().startSession().query(query("load", 1, 9000)));
+            assertEquals(1, engine.countCalls("POST"));
+        }
+    }
+
     /** Each page in turn is short once; its other row comes in a later read, or most of it does. */
     @ParameterizedTest
     @CsvSource({
@@ -132,13 +141,8 @@
                             ? shortPageCutByReads(number, bytesInFirstRead, headerLine)
                             : goodPage(number);
                 };
-        try (StubEngine engine = new LateRowsEngine(script)) {
-            support.updateEndpointAndWait(1, engine, EngineStage.READY);
-            assertEquals(
-                    SERVED, support.connectClient().startSession().query(query("load", 1, 9000)));
-            assertEquals(1, engine.countCalls("POST"));
-            assertEquals(1, support.counters.get(Count.ENGINES_GARBLED));
-        }
+        assertServedCompletely(script);
+        assertEquals(1, support.counters.get(Count.ENGINES_GARBLED));
     }
 
     /** Rows that come only once the next page is being fetched. */
@@ -157,12 +161,7 @@
                             ? row(shortNumber, 1) + goodPage(number)
                             : goodPage(number);
                 };
-        try (StubEngine engine = new LateRowsEngine(script)) {
-            support.updateEndpointAndWait(1, engine, EngineStage.READY);
-            assertEquals(
-                    SERVED, support.connectClient().startSession().query(query("load", 1, 9000)));
-            assertEquals(1, engine.countCalls("POST"));
-        }
+        assertServedCompletely(script);
     }
 
     /** A page that is always short fails the query well before its timeout, and gives no row. */
--- a/src/test/java/junipercourse/engine/PageCountTest.java
+++ b/src/test/java/junipercourse/engine/PageCountTest.java
@@ -8,7 +8,7 @@
 
 import java.util.concurrent.atomic.AtomicInteger;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.StubEngine;
+import junipercourse.StubEngine;
 import junipercourse.core.Counters.Count;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/junipercourse/multiprocess/DisabledFleetTest.java
+++ b/src/test/java/junipercourse/multiprocess/DisabledFleetTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.regex.Pattern;
+import junipercourse.Client;
 import junipercourse.DispatcherProcess;
 import junipercourse.SocketTestSupport;
 import org.junit.jupiter.api.Test;
@@ -38,8 +39,7 @@
                                 + "export JAVA_TOOL_OPTIONS='-Xlog:class+load:file="
                                 + classLog
                                 + "'; ")) {
-            try (SocketTestSupport.Client client =
-                    new SocketTestSupport.Client(process.address())) {
+            try (Client client = new Client(process.address())) {
                 client.startSession().query("SHOW COUNTERS");
                 client.query("SHOW FLEET");
             }
--- a/src/test/java/junipercourse/multiprocess/DispatcherCluster.java
+++ b/src/test/java/junipercourse/multiprocess/DispatcherCluster.java
@@ -14,8 +14,10 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import junipercourse.Client;
 import junipercourse.DispatcherProcess;
 import junipercourse.SocketTestSupport;
+import junipercourse.StubEngine;
 
 /**
  * Dispatchers n0, n1 … as processes of one fleet behind one {@link FaultInjectingProxy}, with one
@@ -34,8 +36,8 @@
     final int memberCount;
     private final long seed;
     private final Path folder;
-    private final SocketTestSupport.StubEngine engine =
-            new SocketTestSupport.StubEngine(
+    private final StubEngine engine =
+            new StubEngine(
                     request ->
                             request.startsWith("POST")
                                     ? SocketTestSupport.RUNNING
@@ -137,7 +139,7 @@
     /** Polls the view of one process until it is stopped, and sends a query every few polls. */
     private void observe(int member, int startNumber, DispatcherProcess process)
             throws IOException {
-        try (SocketTestSupport.Client client = new SocketTestSupport.Client(process.address())) {
+        try (Client client = new Client(process.address())) {
             client.startSession();
             for (int round = 0; processes[member] == process; round++) {
                 FleetObservation observation =
--- a/src/test/java/junipercourse/multiprocess/FleetObservation.java
+++ b/src/test/java/junipercourse/multiprocess/FleetObservation.java
@@ -28,7 +28,7 @@
     /** A member as listed in the table. */
     public record ObservedMember(String status, long incarnation) {}
 
-    /** Parses the response as formatted by {@code SocketTestSupport.Client}. */
+    /** Parses the response as formatted by {@code Client}. */
     public static FleetObservation parse(
             double atSeconds, int observer, int startNumber, String response) {
         Map<String, ObservedMember> members = new HashMap<>();
--- a/src/test/java/junipercourse/pg/LargeMessageTest.java
+++ b/src/test/java/junipercourse/pg/LargeMessageTest.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.stream.Stream;
+import junipercourse.Client;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.Client;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
--- a/src/test/java/junipercourse/pg/SessionTest.java
+++ b/src/test/java/junipercourse/pg/SessionTest.java
@@ -6,9 +6,9 @@
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import junipercourse.Client;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.Client;
-import junipercourse.SocketTestSupport.StubEngine;
+import junipercourse.StubEngine;
 import junipercourse.core.Counters;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
--- a/src/test/java/junipercourse/scale/ConstantRateLoad.java
+++ b/src/test/java/junipercourse/scale/ConstantRateLoad.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
+import junipercourse.Client;
 import junipercourse.QueryStream;
-import junipercourse.SocketTestSupport;
 import org.HdrHistogram.ConcurrentHistogram;
 
 /**
@@ -68,7 +68,7 @@
         if (firstQuery >= queryCount) {
             return;
         }
-        try (SocketTestSupport.Client client = new SocketTestSupport.Client(front).startSession()) {
+        try (Client client = new Client(front).startSession()) {
             for (int i = firstQuery; i < queryCount; i += CLIENT_COUNT) {
                 long dueNanos = startNanos + (long) (i / rate * 1e9);
                 while (System.nanoTime() < dueNanos) {
--- a/src/test/java/junipercourse/scale/IdleClients.java
+++ b/src/test/java/junipercourse/scale/IdleClients.java
@@ -8,7 +8,7 @@
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
 import java.util.List;
-import junipercourse.SocketTestSupport.Client;
+import junipercourse.Client;
 
 /**
  * Clients on one thread that each start a session, send one empty query and then keep their
--- a/src/test/java/junipercourse/scale/RealMember.java
+++ b/src/test/java/junipercourse/scale/RealMember.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Collectors;
+import junipercourse.Client;
 import junipercourse.DispatcherProcess;
 import junipercourse.SocketTestSupport;
 import junipercourse.multiprocess.FleetObservation;
@@ -21,7 +22,7 @@
 
     final int number;
     private final DispatcherProcess process;
-    private SocketTestSupport.Client client;
+    private Client client;
 
     /**
      * Starts the process, with the deploy file's command line if {@code packaged}, else from the
@@ -66,7 +67,7 @@
         }
         try {
             if (client == null) {
-                client = new SocketTestSupport.Client(process.address());
+                client = new Client(process.address());
                 client.startSession();
             }
             return FleetObservation.parse(
--- a/src/test/java/junipercourse/scale/ServingHarness.java
+++ b/src/test/java/junipercourse/scale/ServingHarness.java
@@ -8,9 +8,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import junipercourse.Client;
 import junipercourse.DispatcherProcess;
 import junipercourse.SocketTestSupport;
-import junipercourse.SocketTestSupport.Client;
 
 /**
  * Starts one dispatcher after another in front of fake engines, for the measurements of {@link
