--- a/src/test/java/junipercourse/DispatcherProcess.java
+++ b/src/test/java/junipercourse/DispatcherProcess.java
@@ -79,10 +79,14 @@
 
     /**
      * Starts the classes under test with the JVM options of the deploy file's command line, and so
-     * its limits of memory. The jar is not built yet while tests run.
+     * its limits of memory. The jar is not built yet while tests run; with {@code -Ddeployed=true}
+     * a jar built before is started by the command line as it is.
      */
     public static DispatcherProcess startWithDeployedOptions(Path log, Path config)
             throws IOException {
+        if (Boolean.getBoolean("deployed")) {
+            return startDeployed(log, config);
+        }
         String command =
                 deployedCommand()
                         .replaceFirst("-XX:SharedArchiveFile=\\S+", "")
