--- a/src/main/java/junipercourse/discovery/EndpointWatcher.java
+++ b/src/main/java/junipercourse/discovery/EndpointWatcher.java
@@ -34,7 +34,8 @@
  *
  * One each of the first three takes 6.0 s; network delay is extra. After a longer outage the next
  * dial starts within 1.0 s of the bus's return, or within 5.0 s ({@link #MAX_SILENCE_SECONDS}) if
- * the bus accepted connections but sent nothing. A stall of the event loop adds its length.
+ * the bus accepted connections but sent nothing. A stall of the event loop adds its length: silence
+ * is counted from the time when the bytes that arrived during the stall are read.
  */
 public final class EndpointWatcher {
     private static final double DIAL_TIMEOUT_SECONDS = 1.0;
@@ -183,19 +184,15 @@
 
         private void restartSilenceTimer() {
             loop.cancel(silenceTimer);
-            silenceTimer =
-                    loop.scheduleAfter(
-                            silenceSeconds,
-                            () -> {
-                                Logger.warn(
-                                        "no complete frame from the event bus in time;"
-                                                + " reconnecting");
-                                if (!hasReceivedFrame) {
-                                    silenceSeconds =
-                                            Math.min(MAX_SILENCE_SECONDS, silenceSeconds * 2);
-                                }
-                                redial();
-                            });
+            silenceTimer = loop.scheduleAfter(silenceSeconds, this::handleSilence);
+        }
+
+        private void handleSilence() {
+            Logger.warn("no complete frame from the event bus in time; reconnecting");
+            if (!hasReceivedFrame) {
+                silenceSeconds = Math.min(MAX_SILENCE_SECONDS, silenceSeconds * 2);
+            }
+            redial();
         }
 
         @Override
