Let the processes of a replacement share the ids of their queries

Cause: each process knew its own ids only.

SharedQueryIds writes the ids of open queries, and of abandoned ones that must not run again, before it looks into the other segments, so that two processes never both take an id. Ids stay after the end of their process until one starts alone.

--- a/src/main/java/junipercourse/admin/SiblingProcesses.java
+++ b/src/main/java/junipercourse/admin/SiblingProcesses.java
@@ -20,7 +20,7 @@
  */
 public final class SiblingProcesses implements Closeable {
     /** Limit of processes of one dispatcher: a further one finds no free number and exits. */
-    private static final int MAX_PROCESSES = 8;
+    public static final int MAX_PROCESSES = 8;
 
     private static final int LOCK_ATTEMPTS = 20;
     private static final long LOCK_RETRY_NANOS = 10_000_000;
@@ -59,6 +59,11 @@
                 folder + ": " + MAX_PROCESSES + " processes are already running, the maximum");
     }
 
+    /** Returns the number that this process alone holds. */
+    public int processNumber() {
+        return processNumber;
+    }
+
     private static String fileName(int processNumber) {
         return "process-" + processNumber;
     }
--- a/src/main/java/junipercourse/cli/HandoverCoordinator.java
+++ b/src/main/java/junipercourse/cli/HandoverCoordinator.java
@@ -12,6 +12,8 @@
 import junipercourse.admin.SiblingProcesses;
 import junipercourse.config.Config;
 import junipercourse.core.Gateway;
+import junipercourse.handover.SharedMemory;
+import junipercourse.handover.SharedQueryIds;
 import junipercourse.net.DescriptorBudget;
 import junipercourse.net.EventLoop;
 import junipercourse.pg.PgServer;
@@ -72,7 +74,9 @@
         allowedDescriptors = descriptors.used();
         descriptors.applyClaim(allowedDescriptors, true); // there is no claim until the first poll
         siblings = new SiblingProcesses(folder);
-        pollSiblings();
+        SharedMemory memory = new SharedMemory(folder, siblings.processNumber());
+        pollSiblings(memory::clear);
+        gateway.setIdRegistry(new SharedQueryIds(memory));
         scheduler =
                 new ScheduledThreadPoolExecutor(
                         1,
@@ -82,7 +86,7 @@
                             return thread;
                         });
         scheduler.scheduleWithFixedDelay(
-                this::pollSiblings,
+                () -> pollSiblings(() -> {}),
                 POLL_INTERVAL_MILLIS,
                 POLL_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -109,12 +113,18 @@
                         + listenAddress.getPort());
     }
 
-    private void pollSiblings() {
+    /**
+     * @param onAlone runs if no other process of this dispatcher runs; none starts meanwhile
+     */
+    private void pollSiblings(Runnable onAlone) {
         try {
             int[] claim = new int[1];
             int siblingDescriptors =
                     siblings.claim(
                             others -> {
+                                if (others < 0) {
+                                    onAlone.run();
+                                }
                                 claim[0] =
                                         DescriptorBudget.claim(
                                                 allowedDescriptors, others, descriptors.limit());
--- a/src/main/java/junipercourse/core/AbandonedIds.java
+++ b/src/main/java/junipercourse/core/AbandonedIds.java
@@ -13,14 +13,16 @@
 
     private final Set<String> ids = new LinkedHashSet<>();
 
-    /** Adds an id; the oldest one is dropped for it if there are too many. */
-    void add(String id) {
+    /** Adds an id. Returns the oldest one, which is dropped if there are too many, or null. */
+    String add(String id) {
+        String dropped = null;
         if (ids.size() >= MAX_IDS) {
             Iterator<String> oldest = ids.iterator();
-            oldest.next();
+            dropped = oldest.next();
             oldest.remove();
         }
         ids.add(id);
+        return dropped;
     }
 
     boolean contains(String id) {
--- a/src/main/java/junipercourse/core/Gateway.java
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -65,9 +65,8 @@
     }
 
     /**
-     * Submits a query; its handler is called later. Returns the id for {@link #abandon}; 0 if one
-     * of the same client id, by which engines know it, is open or has an attempt running, or was
-     * abandoned by its client and may have had an effect.
+     * Submits a query; its handler is called later. Returns the id for {@link #abandon}; 0 if there
+     * is a conflict with the client's id of the query ({@link #conflictOf}).
      */
     public long submit(Query query, ResponseHandler responseHandler) {
         InFlightQuery inFlight = queries.register(query, responseHandler);
@@ -88,12 +87,14 @@
         return inFlight.id;
     }
 
-    /**
-     * Whether {@link #submit} refuses this query because one of its id was abandoned by its client
-     * and may have had an effect.
-     */
-    public boolean wasAbandoned(Query query) {
-        return queries.wasAbandoned(query);
+    /** Returns why {@link #submit} has refused a query. */
+    public IdConflict conflictOf(Query query) {
+        return queries.conflictOf(query);
+    }
+
+    /** Sets the registry that other processes of this dispatcher share. */
+    public void setIdRegistry(QueryIdRegistry idRegistry) {
+        queries.setIdRegistry(idRegistry);
     }
 
     private boolean isOrderedByKey(Query query) {
--- a/src/main/java/junipercourse/core/OpenQueries.java
+++ b/src/main/java/junipercourse/core/OpenQueries.java
@@ -18,6 +18,7 @@
     private final SlotTable<InFlightQuery> queries = new SlotTable<>();
     private final Set<String> idsInUse = new HashSet<>();
     private final AbandonedIds abandonedIds = new AbandonedIds();
+    private QueryIdRegistry idRegistry = QueryIdRegistry.ofSoleProcess();
     private int openCount;
     private Runnable idleTask;
 
@@ -32,16 +33,19 @@
         this.queryClasses = queryClasses;
     }
 
-    /**
-     * Registers a query. Returns null if another one with its id is open or has an attempt running,
-     * or was abandoned by its client and may have had an effect.
-     */
+    /** Sets the registry that other processes of this dispatcher share. */
+    void setIdRegistry(QueryIdRegistry idRegistry) {
+        this.idRegistry = idRegistry;
+    }
+
+    /** Registers a query. Returns null if there is a conflict with its id. */
     InFlightQuery register(Query query, ResponseHandler responseHandler) {
         String id = normalizedId(query);
-        if (wasAbandoned(query) || !idsInUse.add(id)) {
+        if (idsInUse.contains(id) || abandonedIds.contains(id) || !idRegistry.acquire(id)) {
             counters.increment(Count.QUERIES_DOUBLED);
             return null;
         }
+        idsInUse.add(id);
         counters.increment(Count.QUERIES_TAKEN);
         InFlightQuery inFlight = new InFlightQuery(query, responseHandler);
         inFlight.id = queries.add(inFlight);
@@ -49,9 +53,15 @@
         return inFlight;
     }
 
-    /** Whether a query with the id of this one was abandoned and may have had an effect. */
-    boolean wasAbandoned(Query query) {
-        return abandonedIds.contains(normalizedId(query));
+    /** Returns why {@link #register} has not registered a query. */
+    IdConflict conflictOf(Query query) {
+        String id = normalizedId(query);
+        if (idsInUse.contains(id)) {
+            return IdConflict.OPEN;
+        }
+        return abandonedIds.contains(id)
+                ? IdConflict.ABANDONED
+                : IdConflict.HELD_BY_ANOTHER_PROCESS;
     }
 
     /** Returns the query with that id, or null. */
@@ -120,8 +130,10 @@
             String id = normalizedId(inFlight.query);
             idsInUse.remove(id);
             queries.remove(inFlight.id);
-            if (inFlight.isAbandoned && mayHaveHadEffect(inFlight)) {
-                abandonedIds.add(id);
+            String released =
+                    inFlight.isAbandoned && mayHaveHadEffect(inFlight) ? abandonedIds.add(id) : id;
+            if (released != null) {
+                idRegistry.release(released);
             }
         }
     }
--- /dev/null
+++ b/src/main/java/junipercourse/handover/SharedQueryIds.java
@@ -0,0 +1,137 @@
+package junipercourse.handover;
+
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import junipercourse.core.QueryIdRegistry;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * A registry of query ids in {@link SharedMemory}, as 64-bit hashes. The ids that a process holds
+ * stay held after its end, however it ends; the next process with its number takes them over.
+ */
+public final class SharedQueryIds implements QueryIdRegistry {
+    /** The word with the number of words that may hold an id. */
+    private static final int USED_WORDS = 0;
+
+    private static final int FIRST_WORD = 1;
+
+    /** Open queries and abandoned ones of one process are fewer. */
+    static final int MAX_IDS = 15_000;
+
+    /** The first word of a segment that holds something else. */
+    static final int END_WORD = FIRST_WORD + MAX_IDS;
+
+    private static final long NO_ID = 0;
+
+    private final LongHashFunction hashFunction = LongHashFunction.xx3();
+    private final SharedMemory memory;
+    private final BitSet usedWords = new BitSet();
+    private final Map<Long, Integer> ownWords = new HashMap<>();
+
+    /** Ids that an ended process has left in this segment; they give way to new ones. */
+    private final Map<Long, Integer> inheritedWords = new LinkedHashMap<>();
+
+    /** Takes over what this segment holds. */
+    public SharedQueryIds(SharedMemory memory) {
+        this.memory = memory;
+        int used = usedWords(memory.processNumber());
+        for (int i = 0; i < used; i++) {
+            long hash = memory.read(memory.processNumber(), FIRST_WORD + i);
+            if (hash != NO_ID) {
+                inheritedWords.put(hash, i);
+                usedWords.set(i);
+            }
+        }
+    }
+
+    /** Never above the maximum: a damaged count must not lead out of the segment. */
+    private int usedWords(int segment) {
+        long used = memory.read(segment, USED_WORDS);
+        return (int) Math.min(Math.max(0, used), MAX_IDS);
+    }
+
+    /**
+     * {@inheritDoc}
+     *
+     * <p>The id is written before the other segments are read. Of two processes that acquire an id
+     * at the same time, at least one sees that the other does.
+     */
+    @Override
+    public boolean acquire(String id) {
+        long hash = hash(id);
+        if (isHeldByAnother(hash)) {
+            return false;
+        }
+        add(hash);
+        if (isHeldByAnother(hash)) {
+            remove(hash);
+            return false;
+        }
+        return true;
+    }
+
+    @Override
+    public void release(String id) {
+        remove(hash(id));
+    }
+
+    private long hash(String id) {
+        long hash = hashFunction.hashChars(id);
+        return hash == NO_ID ? 1 : hash;
+    }
+
+    private boolean isHeldByAnother(long hash) {
+        if (inheritedWords.containsKey(hash)) {
+            return true;
+        }
+        for (int segment = 0; segment < memory.segmentCount(); segment++) {
+            if (segment != memory.processNumber() && contains(segment, hash)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean contains(int segment, long hash) {
+        int used = usedWords(segment);
+        for (int i = 0; i < used; i++) {
+            if (memory.read(segment, FIRST_WORD + i) == hash) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Leaves out an id if all words hold open or abandoned queries of this process. */
+    private void add(long hash) {
+        int word = findFreeWord();
+        if (word < MAX_IDS && ownWords.putIfAbsent(hash, word) == null) {
+            usedWords.set(word);
+            memory.write(FIRST_WORD + word, hash);
+            if (word >= usedWords(memory.processNumber())) {
+                memory.write(USED_WORDS, word + 1);
+            }
+        }
+    }
+
+    private int findFreeWord() {
+        int word = usedWords.nextClearBit(0);
+        Iterator<Integer> inherited = inheritedWords.values().iterator();
+        if (word >= MAX_IDS && inherited.hasNext()) {
+            word = inherited.next();
+            inherited.remove();
+        }
+        return word;
+    }
+
+    private void remove(long hash) {
+        Integer word = ownWords.remove(hash);
+        if (word != null) {
+            memory.write(FIRST_WORD + word, NO_ID);
+            usedWords.clear(word);
+        }
+    }
+}
--- a/src/main/java/junipercourse/pg/PgProtocolHandler.java
+++ b/src/main/java/junipercourse/pg/PgProtocolHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import junipercourse.core.Counters.Count;
+import junipercourse.core.IdConflict;
 import junipercourse.core.Query;
 import junipercourse.core.ResponseHandler;
 import junipercourse.core.StatusTables;
@@ -13,10 +14,6 @@
 final class PgProtocolHandler implements ResponseHandler {
     private static final byte[] NO_MESSAGE = {};
 
-    private static final String ID_IS_OPEN = "req: a query of this id is open";
-    private static final String ID_WAS_ABANDONED =
-            "req: a query of this id may have run, and its client has left";
-
     private final PgServer server;
     private final Session session;
     private boolean started;
@@ -128,11 +125,19 @@
         queryHandle = server.gateway().submit(query, this);
         hasOpenQuery = queryHandle != 0;
         if (!hasOpenQuery) {
-            boolean wasAbandoned = server.gateway().wasAbandoned(query);
-            sendReply(errorResponse("55006", wasAbandoned ? ID_WAS_ABANDONED : ID_IS_OPEN));
+            sendReply(errorResponse("55006", describe(server.gateway().conflictOf(query))));
         }
     }
 
+    private static String describe(IdConflict conflict) {
+        return switch (conflict) {
+            case OPEN -> "req: a query of this id is open";
+            case ABANDONED -> "req: a query of this id may have run, and its client has left";
+            case HELD_BY_ANOTHER_PROCESS ->
+                    "req: another process of this dispatcher has taken a query of this id";
+        };
+    }
+
     /** Cancels the open query and reports this as a PostgreSQL server does. */
     void cancelQuery() {
         if (hasOpenQuery) {
--- /dev/null
+++ b/src/test/java/junipercourse/handover/SharedMemoryTest.java
@@ -0,0 +1,108 @@
+package junipercourse.handover;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards the ids that two processes share: none is held by both. */
+class SharedMemoryTest {
+    private static final int RACES = 20_000;
+
+    @TempDir private Path folder;
+
+    private SharedQueryIds ids(int processNumber) throws IOException {
+        return new SharedQueryIds(new SharedMemory(folder, processNumber));
+    }
+
+    @Test
+    void idIsHeldByOneProcessUntilItIsReleased() throws IOException {
+        SharedQueryIds first = ids(0);
+        SharedQueryIds second = ids(1);
+        assertTrue(first.acquire("a"));
+        assertFalse(second.acquire("a"));
+        assertTrue(second.acquire("b"));
+        first.release("a");
+        assertTrue(second.acquire("a"));
+        assertFalse(first.acquire("a"));
+    }
+
+    @Test
+    void idOfAnEndedProcessStaysHeld() throws IOException {
+        assertTrue(ids(0).acquire("a"));
+        SharedQueryIds successor = ids(0);
+        assertFalse(successor.acquire("a"));
+        assertFalse(ids(1).acquire("a"));
+        assertTrue(successor.acquire("b"));
+        successor.release("a"); // has not acquired it
+        assertFalse(ids(1).acquire("a"));
+    }
+
+    @Test
+    void clearedMemoryHoldsNoIds() throws IOException {
+        assertTrue(ids(0).acquire("a"));
+        new SharedMemory(folder, 1).clear();
+        assertTrue(ids(0).acquire("a"));
+    }
+
+    /** More ids than a segment holds displace those of an ended process, and nothing else. */
+    @Test
+    void inheritedIdsGiveWayToNewOnes() throws IOException {
+        SharedQueryIds ended = ids(0);
+        int count = SharedQueryIds.MAX_IDS;
+        for (int i = 0; i < count; i++) {
+            assertTrue(ended.acquire("old" + i));
+        }
+        SharedQueryIds successor = ids(0);
+        SharedQueryIds other = ids(1);
+        assertTrue(successor.acquire("new"));
+        assertFalse(other.acquire("new"));
+        assertTrue(other.acquire("old0"));
+        assertFalse(other.acquire("old1"));
+    }
+
+    @Test
+    void twoProcessesDoNotBothAcquireAnIdAtTheSameTime() throws Exception {
+        AtomicIntegerArray acquired = new AtomicIntegerArray(RACES);
+        CyclicBarrier barrier = new CyclicBarrier(2);
+        List<Thread> threads = new ArrayList<>();
+        for (int process = 0; process < 2; process++) {
+            SharedQueryIds ids = ids(process);
+            Thread thread = new Thread(() -> acquireAll(ids, barrier, acquired));
+            threads.add(thread);
+            thread.start();
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        int once = 0;
+        for (int i = 0; i < RACES; i++) {
+            assertTrue(acquired.get(i) <= 1, "id " + i + " was acquired twice");
+            once += acquired.get(i);
+        }
+        assertTrue(once > 0, "no id was acquired");
+    }
+
+    private static void acquireAll(
+            SharedQueryIds ids, CyclicBarrier barrier, AtomicIntegerArray acquired) {
+        try {
+            for (int i = 0; i < RACES; i++) {
+                barrier.await();
+                if (ids.acquire("id" + i)) {
+                    acquired.incrementAndGet(i);
+                }
+                barrier.await();
+                ids.release("id" + i);
+            }
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+}
