Pass a cancel request on to the other process of a replacement

Cause: PgServer looked for the session in its own process only; after SIGTERM the old process accepts no connection, so no cancel could reach it.

Change: a key that no session has goes into a ring in the memory that the processes share; the others read it every 20 ms. CancelRequests is taken out of PgServer, and CancelKey stands in place of two numbers.

--- a/src/main/java/junipercourse/cli/HandoverCoordinator.java
+++ b/src/main/java/junipercourse/cli/HandoverCoordinator.java
@@ -12,10 +12,12 @@
 import junipercourse.admin.SiblingProcesses;
 import junipercourse.config.Config;
 import junipercourse.core.Gateway;
+import junipercourse.handover.SharedCancelRequests;
 import junipercourse.handover.SharedMemory;
 import junipercourse.handover.SharedQueryIds;
 import junipercourse.net.DescriptorBudget;
 import junipercourse.net.EventLoop;
+import junipercourse.pg.CancelKey;
 import junipercourse.pg.PgServer;
 import org.tinylog.Logger;
 
@@ -35,6 +37,9 @@
     /** A new process reports ready some tenths of a second after its start. */
     private static final long POLL_INTERVAL_MILLIS = 100;
 
+    /** A cancelled query must not be sent on 0.1 s after the request. */
+    private static final double CANCEL_POLL_INTERVAL_SECONDS = 0.02;
+
     private final EventLoop loop;
     private final DescriptorBudget descriptors;
     private final Gateway gateway;
@@ -42,6 +47,7 @@
     private final int maxOpenQueriesAlone;
     private final int maxOpenQueriesWithSibling;
     private final SiblingProcesses siblings;
+    private final SharedCancelRequests cancelRequests;
     private final ScheduledThreadPoolExecutor scheduler;
 
     /**
@@ -76,7 +82,10 @@
         siblings = new SiblingProcesses(folder);
         SharedMemory memory = new SharedMemory(folder, siblings.processNumber());
         pollSiblings(memory::clear);
+        cancelRequests = new SharedCancelRequests(memory);
         gateway.setIdRegistry(new SharedQueryIds(memory));
+        pgServer.cancelRequests().setForwarder(key -> cancelRequests.send(key.toLong()));
+        loop.execute(this::receiveCancelRequests);
         scheduler =
                 new ScheduledThreadPoolExecutor(
                         1,
@@ -113,6 +122,12 @@
                         + listenAddress.getPort());
     }
 
+    private void receiveCancelRequests() {
+        loop.scheduleAfter(CANCEL_POLL_INTERVAL_SECONDS, this::receiveCancelRequests);
+        cancelRequests.receive(
+                key -> pgServer.cancelRequests().cancelSession(CancelKey.fromLong(key)));
+    }
+
     /**
      * @param onAlone runs if no other process of this dispatcher runs; none starts meanwhile
      */
--- a/src/main/java/junipercourse/pg/PgProtocolHandler.java
+++ b/src/main/java/junipercourse/pg/PgProtocolHandler.java
@@ -50,8 +50,7 @@
             case ENCRYPTION -> session.write(new byte[] {'N'});
             case CANCEL -> {
                 if (packet.cancelTarget() != null) {
-                    server.cancel(
-                            packet.cancelTarget().processId(), packet.cancelTarget().secret());
+                    server.cancelRequests().handle(packet.cancelTarget());
                 }
                 session.closeLingering(NO_MESSAGE);
             }
@@ -67,8 +66,7 @@
             return;
         }
         session.write(
-                packet.greetingMessages(new StartupPacket.Key((int) session.slot, session.secret))
-                        .bytes());
+                packet.greetingMessages(new CancelKey((int) session.slot, session.secret)).bytes());
     }
 
     private void handleMessage(FrontendMessageDecoder.Message message) {
--- a/src/main/java/junipercourse/pg/PgServer.java
+++ b/src/main/java/junipercourse/pg/PgServer.java
@@ -34,6 +34,7 @@
     private final SessionSecrets sessionSecrets = new SessionSecrets();
     private final double maxRetryAfterSeconds;
     private final ConnectionSlots connectionSlots;
+    private final CancelRequests cancelRequests;
     private final StatusTables statusTables;
     private final InputScheduler inputScheduler;
     private AcceptingChannel<StreamConnection> listener;
@@ -64,6 +65,7 @@
         this.counters = counters;
         this.fieldParser = new QueryFieldParser(settings);
         this.connectionSlots = new ConnectionSlots(loop, share);
+        this.cancelRequests = new CancelRequests(connectionSlots, counters);
         this.inputScheduler = new InputScheduler(loop);
         this.statusTables = statusTables;
         this.maxRetryAfterSeconds =
@@ -198,14 +200,9 @@
                 : "";
     }
 
-    /** Handles a CancelRequest. Both the process id and the secret must match. */
-    void cancel(int processId, int secret) {
-        counters.increment(Count.CLIENTS_CANCELLED);
-        Session session = connectionSlots.findByProcessId(processId);
-        if (session != null && session.secret == secret) {
-            session.readPending(); // after a stall, the query to cancel may still be unread
-            session.cancelQuery();
-        }
+    /** Returns what handles the CancelRequests of clients. */
+    public CancelRequests cancelRequests() {
+        return cancelRequests;
     }
 
     /** Adds to the bytes held for all sessions. Returns false if they exceed the limit. */
--- a/src/main/java/junipercourse/pg/StartupPacket.java
+++ b/src/main/java/junipercourse/pg/StartupPacket.java
@@ -13,7 +13,8 @@
  * @param unknownOptions protocol options that this server does not know
  * @param cancelTarget the session whose query is to be cancelled; null if the packet is invalid
  */
-record StartupPacket(Kind kind, int minorVersion, List<String> unknownOptions, Key cancelTarget) {
+record StartupPacket(
+        Kind kind, int minorVersion, List<String> unknownOptions, CancelKey cancelTarget) {
     private static final int PROTOCOL_MAJOR = 3;
     private static final int CANCEL_REQUEST_CODE = 80877102;
     private static final int SSL_REQUEST_CODE = 80877103;
@@ -26,9 +27,6 @@
         START
     }
 
-    /** A session's process id and its secret. */
-    record Key(int processId, int secret) {}
-
     /** Parses the bytes after the packet's length; there are at least four. */
     static StartupPacket parse(byte[] body)
             throws FrontendMessageDecoder.MalformedMessageException {
@@ -37,7 +35,10 @@
         if (code == SSL_REQUEST_CODE || code == GSS_ENCRYPTION_REQUEST_CODE) {
             return new StartupPacket(Kind.ENCRYPTION, 0, List.of(), null);
         } else if (code == CANCEL_REQUEST_CODE) {
-            Key key = packet.remaining() == 8 ? new Key(packet.getInt(), packet.getInt()) : null;
+            CancelKey key =
+                    packet.remaining() == 8
+                            ? new CancelKey(packet.getInt(), packet.getInt())
+                            : null;
             return new StartupPacket(Kind.CANCEL, 0, List.of(), key);
         } else if (code >>> 16 == PROTOCOL_MAJOR) {
             return parseStart(code & 0xffff, packet);
@@ -75,7 +76,7 @@
     }
 
     /** Returns the messages that start a session, with the key to cancel its queries. */
-    BackendMessageEncoder greetingMessages(Key key) {
+    BackendMessageEncoder greetingMessages(CancelKey key) {
         BackendMessageEncoder encoder = new BackendMessageEncoder();
         if (minorVersion > 0 || !unknownOptions.isEmpty()) {
             encoder.negotiateProtocolVersion(unknownOptions);
--- a/src/test/java/junipercourse/cli/SiblingQueryTest.java
+++ b/src/test/java/junipercourse/cli/SiblingQueryTest.java
@@ -19,8 +19,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** Guards against running a query again at the other process of a replacement. */
+/**
+ * Guards against running a query again at the other process of a replacement, and against losing a
+ * cancel request that the other process accepts.
+ */
 class SiblingQueryTest {
+    /** STANDING: an attempt that begins later than 0.1 s is a break; PROTOCOL: 50 ms longer. */
+    private static final double MAX_CANCEL_SECONDS = 0.15;
+
     private static final int CLIENTS = 16;
     private static final int IDS = 8;
     private static final int OBSERVED_MILLIS = 1500;
@@ -129,4 +135,17 @@
             client.close();
         }
     }
+
+    @Test
+    void cancelAcceptedByTheOtherProcessReachesTheQuery() throws Exception {
+        try (Client client = beginAtReplacedProcess("check", "TERM")) {
+            long cancelledAt = System.nanoTime();
+            client.cancel();
+            String answer = client.readAnswer();
+            double seconds = (System.nanoTime() - cancelledAt) / 1e9;
+            assertTrue(answer.startsWith("E(57014 "), answer);
+            assertTrue(seconds <= MAX_CANCEL_SECONDS, "cancelled after " + seconds + " s");
+            assertEquals(1, engines.countAttempts(""));
+        }
+    }
 }
--- a/src/test/java/junipercourse/handover/SharedMemoryTest.java
+++ b/src/test/java/junipercourse/handover/SharedMemoryTest.java
@@ -1,5 +1,6 @@
 package junipercourse.handover;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,10 +10,11 @@
 import java.util.List;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Guards the ids that two processes share: none is held by both. */
+/** Guards the ids and cancel requests that two processes share: no id is held by both. */
 class SharedMemoryTest {
     private static final int RACES = 20_000;
 
@@ -105,4 +107,40 @@
             throw new AssertionError(e);
         }
     }
+
+    @Test
+    void cancelRequestsReachTheOtherProcessesOnce() throws IOException {
+        SharedCancelRequests first = new SharedCancelRequests(new SharedMemory(folder, 0));
+        SharedCancelRequests second = new SharedCancelRequests(new SharedMemory(folder, 1));
+        first.send(5);
+        first.send(-6);
+        second.send(7);
+        assertEquals(List.of(5L, -6L), receive(second));
+        assertEquals(List.of(7L), receive(first));
+        assertEquals(List.of(), receive(second));
+        assertEquals(List.of(), receive(new SharedCancelRequests(new SharedMemory(folder, 2))));
+    }
+
+    /** A flood of requests costs the oldest ones, and neither memory nor the ids. */
+    @Test
+    void onlyTheNewestCancelRequestsAreKept() throws IOException {
+        SharedQueryIds ids = ids(0);
+        SharedCancelRequests first = new SharedCancelRequests(new SharedMemory(folder, 0));
+        SharedCancelRequests second = new SharedCancelRequests(new SharedMemory(folder, 1));
+        assertTrue(ids.acquire("a"));
+        int count = 100_000;
+        for (int i = 0; i < count; i++) {
+            first.send(i);
+        }
+        List<Long> received = receive(second);
+        assertEquals(count - 1L, received.get(received.size() - 1));
+        assertEquals(LongStream.range(count - received.size(), count).boxed().toList(), received);
+        assertFalse(ids(1).acquire("a"));
+    }
+
+    private static List<Long> receive(SharedCancelRequests requests) {
+        List<Long> keys = new ArrayList<>();
+        requests.receive(keys::add);
+        return keys;
+    }
 }
--- a/src/test/java/junipercourse/pg/ConnectionCloseTest.java
+++ b/src/test/java/junipercourse/pg/ConnectionCloseTest.java
@@ -267,7 +267,9 @@
         Client client = support.connectClient().startSession();
         Runnable release = support.blockLoop();
         support.executeOnLoop(
-                server -> server.cancel(client.cancelKey().getInt(), client.cancelKey().getInt(4)));
+                server ->
+                        server.cancelRequests()
+                                .handle(CancelKey.fromLong(client.cancelKey().getLong())));
         client.write(Client.queryMessage(query("check", 1, 1000)));
         release.run();
         assertEquals(CANCELLED, client.readAnswer());
