Make no new connection for a query once another engine is listed at its address

Seen: an engine that runs six queries is cut off, and another one is listed at its address.

Cause: after 0.6 s of silence an attempt calls on a new connection, which leads to the new engine; its 500 and 204 were taken for the old one's.

Change: ListedAddresses knows the engine listed at each address. With another one listed, an attempt makes a new connection only if the engine itself has closed the last one, as a process that ends does; else it ends when its query has expired.

--- a/src/main/java/junipercourse/engine/AttemptConnections.java
+++ b/src/main/java/junipercourse/engine/AttemptConnections.java
@@ -29,6 +29,10 @@
     private HttpCall ignoredCall;
     private EngineConnection idleConnection;
     private boolean hasLateRows;
+
+    /** Whether the engine has closed the last connection; if it is silent, it may still run. */
+    private boolean isClosedByEngine;
+
     private boolean isClosed;
     private DeadlineQueue.Entry timer;
 
@@ -66,6 +70,11 @@
         idleConnection = null;
         if (reusable != null && reusable.prepareReuse()) {
             newCall.writeOn(reusable);
+            return;
+        }
+        isClosedByEngine |= reusable != null;
+        if (pool.isAddressReused() && !isClosedByEngine) {
+            loop.execute(newCall::withdraw); // the other engine knows nothing of the query
         } else {
             pool.callOnNewConnection(newCall, startsQuery, this);
         }
@@ -204,11 +213,13 @@
 
         @Override
         public final void onResponse(HttpResponse response, boolean isUnambiguous) {
+            connections.isClosedByEngine = false;
             handleResponse(response, isUnambiguous);
         }
 
         @Override
         public final void onConnectionBroken() {
+            connections.isClosedByEngine = true;
             handleFailure();
         }
 
--- a/src/main/java/junipercourse/engine/EngineClient.java
+++ b/src/main/java/junipercourse/engine/EngineClient.java
@@ -28,6 +28,7 @@
     private final LoadReportReader loadReports;
     private final EnginePool.Budget budget;
     private final Map<EngineId, EnginePool> pools = new HashMap<>();
+    private final ListedAddresses listedAddresses = new ListedAddresses();
 
     /** {@code share} limits the connections open to all engines together. */
     public EngineClient(
@@ -61,8 +62,16 @@
                 pool = null;
             }
             if (pool == null) {
-                pool = new EnginePool(loop, endpoint, dialTimeoutSeconds, budget, counters);
+                pool =
+                        new EnginePool(
+                                loop,
+                                endpoint,
+                                listedAddresses,
+                                dialTimeoutSeconds,
+                                budget,
+                                counters);
                 pools.put(engine.id(), pool);
+                listedAddresses.add(pool);
             }
             pool.setReady(engine.stage() == EngineStage.READY);
         }
@@ -78,6 +87,7 @@
         EnginePool pool = pools.remove(id);
         if (pool != null) {
             pool.setReady(false);
+            listedAddresses.remove(pool);
         }
     }
 
--- a/src/main/java/junipercourse/engine/EnginePool.java
+++ b/src/main/java/junipercourse/engine/EnginePool.java
@@ -1,5 +1,6 @@
 package junipercourse.engine;
 
+import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import junipercourse.core.Backend.EngineEndpoint;
@@ -64,6 +65,7 @@
     private final EventLoop loop;
     private final Budget budget;
     private final EngineEndpoint endpoint;
+    private final ListedAddresses listedAddresses;
     private final double dialTimeoutSeconds;
     private final Counters counters;
     private boolean isReady = true;
@@ -71,12 +73,14 @@
     EnginePool(
             EventLoop loop,
             EngineEndpoint endpoint,
+            ListedAddresses listedAddresses,
             double dialTimeoutSeconds,
             Budget budget,
             Counters counters) {
         this.loop = loop;
         this.budget = budget;
         this.endpoint = endpoint;
+        this.listedAddresses = listedAddresses;
         this.dialTimeoutSeconds = dialTimeoutSeconds;
         this.counters = counters;
     }
@@ -85,6 +89,15 @@
         return String.format("s-%08x", endpoint.engine().id().value());
     }
 
+    InetSocketAddress address() {
+        return endpoint.address();
+    }
+
+    /** Whether another engine is listed at this address: a new connection leads to that one. */
+    boolean isAddressReused() {
+        return listedAddresses.isReused(this);
+    }
+
     /** Whether a listed engine is this one: same address and not restarted since. */
     boolean matches(EngineEndpoint other) {
         return endpoint.address().equals(other.address())
--- a/src/test/java/junipercourse/StubEngine.java
+++ b/src/test/java/junipercourse/StubEngine.java
@@ -3,6 +3,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -16,6 +17,9 @@
 
 /** An engine that answers each call, such as {@code POST /fetch ID}, with its script's result. */
 public class StubEngine implements Closeable {
+    private static final int MAX_BIND_ATTEMPTS = 100;
+    private static final long BIND_RETRY_MILLIS = 20;
+
     public final List<String> calls = new CopyOnWriteArrayList<>();
 
     /** How long the dispatcher would wait, in milliseconds, as each POST states. */
@@ -53,6 +57,23 @@
                 });
     }
 
+    /**
+     * Starts an engine at the port of one that has just stopped accepting. The system may hold the
+     * port for a moment longer.
+     */
+    public static StubEngine startAt(int port, Function<String, String> script) throws IOException {
+        for (int attempt = 1; ; attempt++) {
+            try {
+                return new StubEngine(port, script);
+            } catch (BindException e) {
+                if (attempt == MAX_BIND_ATTEMPTS) {
+                    throw e;
+                }
+                SocketTestSupport.sleepMillis(BIND_RETRY_MILLIS);
+            }
+        }
+    }
+
     public InetSocketAddress address() {
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
--- a/src/test/java/junipercourse/cli/ReusedAddressTest.java
+++ b/src/test/java/junipercourse/cli/ReusedAddressTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -51,8 +50,6 @@
     private static final int READY = 0;
     private static final int GONE = 2;
     private static final int QUERIES = 6;
-    private static final int MAX_BIND_ATTEMPTS = 100;
-    private static final long BIND_RETRY_MILLIS = 20;
     private static final int MIN_STARTED = 6;
     private static final long START_MILLIS = 500;
     private static final int TIMEOUT_MILLIS = 6000;
@@ -172,7 +169,8 @@
                 SocketTestSupport.await(() -> first.countCalls("POST") >= MIN_STARTED);
                 SocketTestSupport.sleepMillis(START_MILLIS); // more may be started
                 first.close();
-                try (StubEngine second = startNewEngine(enginePort)) {
+                try (StubEngine second =
+                        StubEngine.startAt(enginePort, ReusedAddressTest::answerOfNewEngine)) {
                     SocketTestSupport.sleepMillis(newsDelayMillis);
                     bus.sendFrames(
                             subscription,
@@ -192,20 +190,6 @@
         }
     }
 
-    /** The system may hold the port for a moment after the engine before has closed it. */
-    private static StubEngine startNewEngine(int port) throws IOException {
-        for (int attempt = 1; ; attempt++) {
-            try {
-                return new StubEngine(port, ReusedAddressTest::answerOfNewEngine);
-            } catch (BindException e) {
-                if (attempt == MAX_BIND_ATTEMPTS) {
-                    throw e;
-                }
-                SocketTestSupport.sleepMillis(BIND_RETRY_MILLIS);
-            }
-        }
-    }
-
     private static String frame(int eventNumber, int engineId, int port, int state) {
         return ENGINE_FRAME.formatted(eventNumber, engineId, port, state, ENGINE_FRAME_END);
     }
