Count the time of a query from its own last byte, not from what is read behind it

Cause: a query that waited behind another got the arrival of the bytes read last, so each later batch on its session began its time again.

Change: MessageArrivals keeps the arrival of each read until its bytes are processed.

--- a/src/main/java/junipercourse/pg/PgProtocolHandler.java
+++ b/src/main/java/junipercourse/pg/PgProtocolHandler.java
@@ -114,7 +114,7 @@
         }
         Query query;
         try {
-            query = server.fieldParser().parse(text, session.arrival());
+            query = server.fieldParser().parse(text, session.messageArrival());
         } catch (InvalidQueryFieldException e) {
             server.counters().increment(Count.QUERIES_MALFORMED);
             sendReply(errorResponse("22023", e.getMessage()));
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -24,7 +24,6 @@
     final int secret;
     long slot;
     private final SessionTimeouts timeouts;
-    private ArrivalInterval arrival;
     private boolean isRejected;
     private boolean hasQueried;
     private boolean closed;
@@ -97,8 +96,7 @@
     @Override
     public void received(ByteBuffer bytes) {
         timeouts.recordActivity(server.loop().responsiveSeconds());
-        arrival = connection.arrival();
-        input.append(bytes, protocol.hasOpenQuery());
+        input.append(bytes, connection.arrival(), protocol.hasOpenQuery());
         if (input.hasExcess()) {
             closeForExcessInput();
         } else {
@@ -182,9 +180,9 @@
         processInput(0);
     }
 
-    /** The arrival of the bytes received last. */
-    ArrivalInterval arrival() {
-        return arrival;
+    /** When the last byte of the message arrived that is being processed. */
+    ArrivalInterval messageArrival() {
+        return input.messageArrival();
     }
 
     /** A query is complete: bytes held from now on belong to the next message. */
--- a/src/main/java/junipercourse/pg/SessionInput.java
+++ b/src/main/java/junipercourse/pg/SessionInput.java
@@ -1,6 +1,7 @@
 package junipercourse.pg;
 
 import java.nio.ByteBuffer;
+import junipercourse.liveness.ArrivalInterval;
 
 /** The bytes received from one client that are not processed yet, within bounds. */
 final class SessionInput {
@@ -10,6 +11,8 @@
 
     private final PgServer server;
     private final FrontendMessageDecoder decoder = new FrontendMessageDecoder();
+    private final MessageArrivals arrivals = new MessageArrivals();
+    private long appendedBytes;
     private int reportedBytes;
     private long discardedBytes;
 
@@ -22,7 +25,7 @@
      * Reading goes on, since only that detects a disconnect and cancels the query. After a discard
      * the session is closed later.
      */
-    void append(ByteBuffer bytes, boolean hasOpenQuery) {
+    void append(ByteBuffer bytes, ArrivalInterval arrival, boolean hasOpenQuery) {
         if (discardedBytes > 0 || hasOpenQuery) {
             int capacity =
                     discardedBytes > 0 ? 0 : Math.max(0, MAX_PIPELINED_BYTES - bufferedBytes());
@@ -30,7 +33,16 @@
             discardedBytes += excessBytes;
             bytes.limit(bytes.limit() - excessBytes);
         }
-        decoder.append(bytes);
+        if (bytes.hasRemaining()) {
+            appendedBytes += bytes.remaining();
+            arrivals.record(appendedBytes, arrival);
+            decoder.append(bytes);
+        }
+    }
+
+    /** Returns when the last byte of the message arrived that the decoder returned last. */
+    ArrivalInterval messageArrival() {
+        return arrivals.arrivalBefore(appendedBytes - decoder.bufferedBytes());
     }
 
     FrontendMessageDecoder decoder() {
