Keep the order of a key while a message of a session waits behind an open query

Cause: ArrivalOrder discarded the newer load, since its watermark covers what is unread in sockets, not what has been read and waits in a session.

Change: UnprocessedInput knows since when bytes may wait, and a key is kept as long as something older may come; the older load is refused. ArrivalOrder keeps 10,000 keys at most, now that they may be kept for long. UnreadBytes is taken out of Connection.

--- a/src/main/java/junipercourse/core/Gateway.java
+++ b/src/main/java/junipercourse/core/Gateway.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.DoubleConsumer;
+import java.util.function.DoubleSupplier;
 import junipercourse.core.Backend.EngineEndpoint;
 import junipercourse.core.Counters.Count;
 import junipercourse.decision.TagsDispatcher;
@@ -92,6 +93,11 @@
         return queries.conflictOf(query);
     }
 
+    /** Sets what tells since when bytes of clients may have waited to be processed. */
+    public void setUnprocessedSince(DoubleSupplier unprocessedSince) {
+        keyOrderGate.setUnprocessedSince(unprocessedSince);
+    }
+
     /** Sets the registry that other processes of this dispatcher share. */
     public void setIdRegistry(QueryIdRegistry idRegistry) {
         queries.setIdRegistry(idRegistry);
--- a/src/main/java/junipercourse/core/KeyOrderGate.java
+++ b/src/main/java/junipercourse/core/KeyOrderGate.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
 import java.util.function.DoubleConsumer;
+import java.util.function.DoubleSupplier;
 import junipercourse.liveness.ArrivalOrder;
 import junipercourse.net.DeadlineQueue;
 import junipercourse.net.EventLoop;
@@ -22,6 +23,7 @@
     private static final double MAX_ORDER_WAIT_SECONDS = 0.3;
 
     private static final double ORDER_CHECK_INTERVAL_SECONDS = 0.005;
+    private static final double DISCARD_INTERVAL_SECONDS = 0.01;
 
     /** Handles a query that leaves the gate. */
     interface QueryAction {
@@ -35,6 +37,8 @@
     private final ArrivalOrder arrivalOrder = new ArrivalOrder(MIN_KEY_GAP_SECONDS);
     private final ArrayDeque<InFlightQuery> pending = new ArrayDeque<>();
     private DeadlineQueue.Entry checkTimer;
+    private DoubleSupplier unprocessedSince = () -> Double.POSITIVE_INFINITY;
+    private double lastDiscardAt = Double.NEGATIVE_INFINITY;
 
     /** Creates a gate; {@code enqueueEvent} adds an event to the next batch. */
     KeyOrderGate(
@@ -48,6 +52,11 @@
         this.onUnordered = onUnordered;
     }
 
+    /** Sets what tells since when bytes of clients may have waited to be processed. */
+    void setUnprocessedSince(DoubleSupplier unprocessedSince) {
+        this.unprocessedSince = unprocessedSince;
+    }
+
     void enqueue(InFlightQuery inFlight, double batchTime) {
         pending.add(inFlight);
         processPending(batchTime);
@@ -96,8 +105,14 @@
 
     /** Called when all events of a batch have been processed. */
     void onBatchProcessed() {
-        if (pending.isEmpty()) { // a pending query may have arrived before admitted ones
-            arrivalOrder.discardSettledKeys(loop.readWatermark());
+        double now = loop.now();
+        // a pending query may have arrived before admitted ones
+        if (pending.isEmpty()
+                && arrivalOrder.trackedKeyCount() > 0
+                && now >= lastDiscardAt + DISCARD_INTERVAL_SECONDS) {
+            lastDiscardAt = now;
+            arrivalOrder.discardSettledKeys(
+                    Math.min(loop.readWatermark(), unprocessedSince.getAsDouble()));
         }
     }
 }
--- a/src/main/java/junipercourse/liveness/ArrivalOrder.java
+++ b/src/main/java/junipercourse/liveness/ArrivalOrder.java
@@ -1,6 +1,7 @@
 package junipercourse.liveness;
 
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -13,12 +14,20 @@
  * others must be rejected ({@link #admit}). A rejected request never ran, so the order is preserved
  * whichever it was.
  *
- * <p>Memory is bounded: a key is kept only while a request that may have arrived before its last
- * admitted one can be unread. So there are at most as many keys as requests read within that time.
+ * <p>A key is kept only while a request that may have arrived before its last admitted one can be
+ * unread or unprocessed. If there are too many keys, the one admitted longest ago is forgotten, and
+ * requests that may have arrived before that are rejected, whatever their key.
  */
 public final class ArrivalOrder {
+    static final int MAX_KEYS = 10_000; // limits memory use
+
     private final double minGapSeconds;
-    private final Map<Long, Double> lastAdmittedByKey = new HashMap<>();
+
+    /** When the last admitted request of a key was read, in the order of admission. */
+    private final Map<Long, Double> lastAdmittedByKey = new LinkedHashMap<>();
+
+    /** The highest of these times among the keys that were forgotten. */
+    private double lastForgotten = Double.NEGATIVE_INFINITY;
 
     /**
      * Creates the order for clients that wait at least {@code minGapSeconds} between two requests
@@ -45,21 +54,35 @@
      * arrived before a request that was already admitted.
      */
     public boolean admit(long key, ArrivalInterval request) {
-        Double lastReadAt = lastAdmittedByKey.get(key);
-        if (lastReadAt != null
+        double lastReadAt = lastAdmittedByKey.getOrDefault(key, lastForgotten);
+        if (lastReadAt > Double.NEGATIVE_INFINITY
                 && request.mayPrecede(ArrivalInterval.exact(lastReadAt), minGapSeconds)) {
             return false;
         }
+        Double trackedReadAt = lastAdmittedByKey.remove(key);
         lastAdmittedByKey.put(
                 key,
-                lastReadAt == null ? request.readAt() : Math.max(lastReadAt, request.readAt()));
+                trackedReadAt == null
+                        ? request.readAt()
+                        : Math.max(trackedReadAt, request.readAt()));
+        forgetOldestIfTooMany();
         return true;
     }
 
+    private void forgetOldestIfTooMany() {
+        if (lastAdmittedByKey.size() > MAX_KEYS) {
+            Iterator<Double> oldest = lastAdmittedByKey.values().iterator();
+            lastForgotten = Math.max(lastForgotten, oldest.next());
+            oldest.remove();
+        }
+    }
+
     /**
-     * Discards the keys for which no request that arrived before the last admitted one can still be
-     * unread. Call this only when every request that was read has been admitted or rejected, since
-     * a waiting request may have arrived earlier too.
+     * Discards the keys for which no request that arrived before the last admitted one can still
+     * come. Call this only when every request that was processed has been admitted or rejected,
+     * since a waiting request may have arrived earlier too.
+     *
+     * @param watermark all requests that arrived before this time have been read and processed
      */
     public void discardSettledKeys(double watermark) {
         lastAdmittedByKey.values().removeIf(lastReadAt -> watermark + minGapSeconds >= lastReadAt);
--- a/src/main/java/junipercourse/net/Connection.java
+++ b/src/main/java/junipercourse/net/Connection.java
@@ -45,8 +45,7 @@
     private final ByteBuffer readBuffer;
     private final WriteQueue unsent;
     private boolean closed;
-    private double unreadSince = Double.NaN;
-    private double assumedUnreadAt;
+    private final UnreadBytes unread;
     private ArrivalInterval arrival;
 
     public Connection(EventLoop loop, StreamConnection connection, Handler handler) {
@@ -60,24 +59,14 @@
         source.setReadListener(c -> readable());
         sink.setWriteListener(c -> writable());
         arrival = loop.arrivalOnNewConnection();
-        assumeUnread(arrival.earliest()); // its first bytes may be here already
+        unread = new UnreadBytes(loop);
+        unread.assume(arrival.earliest()); // its first bytes may be here already
         source.resumeReads();
     }
 
-    /** Assumes that bytes since then are unread until a whole later pass has found none. */
-    private void assumeUnread(double since) {
-        unreadSince = since;
-        assumedUnreadAt = loop.now();
-    }
-
-    private ArrivalInterval currentArrival() {
-        ArrivalInterval loopArrival = loop.arrival();
-        boolean mayHaveUnread =
-                !Double.isNaN(unreadSince) && loop.connectionWatermark() <= assumedUnreadAt;
-        return mayHaveUnread
-                ? new ArrivalInterval(
-                        Math.min(unreadSince, loopArrival.earliest()), loopArrival.readAt())
-                : loopArrival;
+    /** Since when bytes may have arrived that are not read yet; infinity if there are none. */
+    public double unreadSince() {
+        return closed ? Double.POSITIVE_INFINITY : unread.since();
     }
 
     /** The interval in which the bytes that were read last arrived. */
@@ -88,7 +77,7 @@
     private void readable() {
         loop.recordActivity();
         try {
-            arrival = currentArrival();
+            arrival = unread.arrival();
             for (int i = 0; i < MAX_READS_PER_EVENT && !closed && source.isReadResumed(); i++) {
                 readBuffer.clear();
                 int n = source.read(readBuffer);
@@ -97,14 +86,14 @@
                     return;
                 }
                 if (n == 0) {
-                    unreadSince = Double.NaN;
+                    unread.clear();
                     return;
                 }
                 readBuffer.flip();
                 handler.received(readBuffer);
             }
             if (!closed) { // the rest arrived after the bytes just read
-                assumeUnread(arrival.earliest());
+                unread.assume(arrival.earliest());
             }
         } catch (IOException e) {
             fail();
@@ -140,12 +129,10 @@
             return;
         }
         if (enabled && !source.isReadResumed()) {
-            assumeUnread(Double.isNaN(unreadSince) ? loop.arrival().earliest() : unreadSince);
+            unread.resume();
             source.resumeReads();
         } else if (!enabled && source.isReadResumed()) {
-            if (Double.isNaN(unreadSince)) { // what arrives from now on stays unread
-                unreadSince = loop.arrival().earliest();
-            }
+            unread.suspend();
             source.suspendReads();
         }
     }
--- a/src/main/java/junipercourse/pg/InputScheduler.java
+++ b/src/main/java/junipercourse/pg/InputScheduler.java
@@ -76,8 +76,16 @@
         refilledAt = now;
     }
 
-    /** Records a processed message of a session. */
-    void recordProcessed(Usage usage, int messageBytes, double startedAt) {
+    /** Processes the next message of a session and charges the session for it. */
+    void processNext(Usage usage, SessionInput input, PgProtocolHandler protocol)
+            throws FrontendMessageDecoder.MalformedMessageException {
+        int bytesBefore = input.bufferedBytes();
+        double startedAt = loop.now();
+        protocol.handleNext(input.decoder());
+        recordProcessed(usage, bytesBefore - input.bufferedBytes(), startedAt);
+    }
+
+    private void recordProcessed(Usage usage, int messageBytes, double startedAt) {
         double seconds = Math.min(MAX_COST_SECONDS, loop.now() - startedAt);
         availableSeconds = Math.max(-MAX_AVAILABLE_SECONDS, availableSeconds - seconds);
         double cost = expectedSeconds(messageBytes);
--- a/src/main/java/junipercourse/pg/MessageArrivals.java
+++ b/src/main/java/junipercourse/pg/MessageArrivals.java
@@ -41,4 +41,14 @@
         }
         return reads.getFirst().arrival();
     }
+
+    /** Returns when the byte behind an offset may have arrived; infinity if there is none. */
+    double earliestAfter(long offset) {
+        for (Read read : reads) {
+            if (read.endOffset() > offset) {
+                return read.arrival().earliest();
+            }
+        }
+        return Double.POSITIVE_INFINITY;
+    }
 }
--- a/src/main/java/junipercourse/pg/PgServer.java
+++ b/src/main/java/junipercourse/pg/PgServer.java
@@ -37,6 +37,7 @@
     private final CancelRequests cancelRequests;
     private final StatusTables statusTables;
     private final InputScheduler inputScheduler;
+    private final UnprocessedInput unprocessedInput = new UnprocessedInput();
     private AcceptingChannel<StreamConnection> listener;
     private boolean sharesSocket;
     private boolean siblingRunning;
@@ -73,6 +74,7 @@
                         ? settings.limits().maxRetryAfterSeconds()
                         : 0;
         this.maxBufferedBytes = maxBufferedBytes;
+        gateway.setUnprocessedSince(unprocessedInput::oldestArrival);
     }
 
     /** Opens the listening socket and starts the periodic check of sessions. */
@@ -219,6 +221,10 @@
         return inputScheduler;
     }
 
+    UnprocessedInput unprocessedInput() {
+        return unprocessedInput;
+    }
+
     StatusTables statusTables() {
         return statusTables;
     }
--- a/src/main/java/junipercourse/pg/Session.java
+++ b/src/main/java/junipercourse/pg/Session.java
@@ -56,6 +56,11 @@
                 : timeouts.idleSince();
     }
 
+    /** Returns since when bytes of the client may wait to be processed; infinity if none do. */
+    double unprocessedSince() {
+        return Math.min(connection.unreadSince(), input.unprocessedSince());
+    }
+
     /** Returns when the client connected, or infinity after its first query. */
     double unusedSince() {
         return hasQueried || closed ? Double.POSITIVE_INFINITY : timeouts.connectedAt();
@@ -125,7 +130,7 @@
         int beforeTurn = messagesBeforeTurn;
         try {
             while (canProcess() && (server.inputScheduler().hasCapacity() || beforeTurn-- > 0)) {
-                handleNextMessage();
+                server.inputScheduler().processNext(inputUsage, input, protocol);
             }
             if (!closed) {
                 adjustReading();
@@ -143,17 +148,12 @@
                 && protocol.hasNext(input.decoder());
     }
 
-    private void handleNextMessage() throws FrontendMessageDecoder.MalformedMessageException {
-        int bytesBefore = input.bufferedBytes();
-        double startedAt = server.loop().now();
-        protocol.handleNext(input.decoder());
-        server.inputScheduler()
-                .recordProcessed(inputUsage, bytesBefore - input.bufferedBytes(), startedAt);
-    }
-
     /** Reads on, waits for its turn with what is left, or closes the session for it. */
     private void adjustReading() {
         boolean mustWait = canProcess();
+        if (input.bufferedBytes() > 0) {
+            server.unprocessedInput().add(this);
+        }
         if (mustWait) {
             server.inputScheduler().enqueue(this, inputUsage, input.bufferedBytes());
         }
@@ -242,6 +242,7 @@
         closed = true;
         input.release();
         server.inputScheduler().remove(inputUsage);
+        server.unprocessedInput().remove(this);
         protocol.onSessionClosed();
         server.connectionSlots().remove(this);
     }
--- a/src/main/java/junipercourse/pg/SessionInput.java
+++ b/src/main/java/junipercourse/pg/SessionInput.java
@@ -45,6 +45,11 @@
         return arrivals.arrivalBefore(appendedBytes - decoder.bufferedBytes());
     }
 
+    /** Returns when the oldest unprocessed byte may have arrived; infinity if there is none. */
+    double unprocessedSince() {
+        return arrivals.earliestAfter(appendedBytes - decoder.bufferedBytes());
+    }
+
     FrontendMessageDecoder decoder() {
         return decoder;
     }
--- a/src/test/java/junipercourse/liveness/ArrivalOrderTest.java
+++ b/src/test/java/junipercourse/liveness/ArrivalOrderTest.java
@@ -84,6 +84,19 @@
         assertEquals(0, order.trackedKeyCount());
     }
 
+    /** Ever new keys must not use memory without end, nor let an older request overtake. */
+    @Test
+    void keysAreForgottenOldestFirstAndOlderRequestsAreThenRejected() {
+        ArrivalOrder order = new ArrivalOrder(MIN_GAP_SECONDS);
+        for (int key = 0; key <= 3 * ArrivalOrder.MAX_KEYS; key++) {
+            assertTrue(order.admit(key, ArrivalInterval.exact(10 + key)));
+        }
+        assertEquals(ArrivalOrder.MAX_KEYS, order.trackedKeyCount());
+        assertFalse(order.admit(0, ArrivalInterval.exact(9)), "older than a forgotten key");
+        assertFalse(order.admit(-1, ArrivalInterval.exact(9)), "whatever its key");
+        assertTrue(order.admit(0, ArrivalInterval.exact(10 + 3 * ArrivalOrder.MAX_KEYS)));
+    }
+
     private record WrittenRequest(double writtenAt, int socket, int number) {}
 
     private record ReadRequest(WrittenRequest request, ArrivalInterval arrival) {}
