Free the ids of an ended process whose queries may be repeated

Cause: all ids of a process stayed held after its end, also those of classes that may be repeated, which clients send again.

Change: each shared id says whether its query may be repeated; such an id counts only while the process with its lock runs, asked on a conflict alone. Three parameters that hid fields are renamed, which Checkstyle had refused.

--- a/src/main/java/junipercourse/admin/SiblingProcesses.java
+++ b/src/main/java/junipercourse/admin/SiblingProcesses.java
@@ -5,7 +5,9 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.concurrent.locks.LockSupport;
@@ -64,6 +66,26 @@
         return processNumber;
     }
 
+    /**
+     * Whether the process with another number runs. Does not wait, and returns true if it cannot be
+     * told. The system frees the lock of a process before its clients notice its end.
+     */
+    public boolean isRunning(int otherNumber) {
+        try (FileChannel file =
+                        FileChannel.open(
+                                folder.resolve(fileName(otherNumber)),
+                                StandardOpenOption.READ,
+                                StandardOpenOption.WRITE);
+                FileLock acquiredLock = file.tryLock()) {
+            return acquiredLock == null;
+        } catch (NoSuchFileException e) {
+            return false;
+        } catch (IOException | OverlappingFileLockException e) { // a claim reads the file now
+            Logger.debug("cannot tell whether process {} runs: {}", otherNumber, e.toString());
+            return true;
+        }
+    }
+
     private static String fileName(int processNumber) {
         return "process-" + processNumber;
     }
--- a/src/main/java/junipercourse/cli/HandoverCoordinator.java
+++ b/src/main/java/junipercourse/cli/HandoverCoordinator.java
@@ -83,7 +83,7 @@
         SharedMemory memory = new SharedMemory(folder, siblings.processNumber());
         pollSiblings(memory::clear);
         cancelRequests = new SharedCancelRequests(memory);
-        gateway.setIdRegistry(new SharedQueryIds(memory));
+        gateway.setIdRegistry(new SharedQueryIds(memory, siblings::isRunning));
         pgServer.cancelRequests().setForwarder(key -> cancelRequests.send(key.toLong()));
         loop.execute(this::receiveCancelRequests);
         scheduler =
--- a/src/main/java/junipercourse/core/KeyOrderGate.java
+++ b/src/main/java/junipercourse/core/KeyOrderGate.java
@@ -53,8 +53,8 @@
     }
 
     /** Sets what tells since when bytes of clients may have waited to be processed. */
-    void setUnprocessedSince(DoubleSupplier unprocessedSince) {
-        this.unprocessedSince = unprocessedSince;
+    void setUnprocessedSince(DoubleSupplier source) {
+        unprocessedSince = source;
     }
 
     void enqueue(InFlightQuery inFlight, double batchTime) {
--- a/src/main/java/junipercourse/core/OpenQueries.java
+++ b/src/main/java/junipercourse/core/OpenQueries.java
@@ -34,14 +34,19 @@
     }
 
     /** Sets the registry that other processes of this dispatcher share. */
-    void setIdRegistry(QueryIdRegistry idRegistry) {
-        this.idRegistry = idRegistry;
+    void setIdRegistry(QueryIdRegistry registry) {
+        idRegistry = registry;
+    }
+
+    private boolean acquire(String id, Query query) {
+        Idempotency idempotency = queryClasses.get(query.queryClass()).idempotency();
+        return idRegistry.acquire(id, idempotency != Idempotency.NOT_IDEMPOTENT);
     }
 
     /** Registers a query. Returns null if there is a conflict with its id. */
     InFlightQuery register(Query query, ResponseHandler responseHandler) {
         String id = normalizedId(query);
-        if (idsInUse.contains(id) || abandonedIds.contains(id) || !idRegistry.acquire(id)) {
+        if (idsInUse.contains(id) || abandonedIds.contains(id) || !acquire(id, query)) {
             counters.increment(Count.QUERIES_DOUBLED);
             return null;
         }
--- a/src/main/java/junipercourse/core/QueryIdRegistry.java
+++ b/src/main/java/junipercourse/core/QueryIdRegistry.java
@@ -9,7 +9,7 @@
     static QueryIdRegistry ofSoleProcess() {
         return new QueryIdRegistry() {
             @Override
-            public boolean acquire(String id) {
+            public boolean acquire(String id, boolean mayRepeat) {
                 return true;
             }
 
@@ -20,8 +20,13 @@
         };
     }
 
-    /** Acquires an id that this process does not hold. Returns false if another one holds it. */
-    boolean acquire(String id);
+    /**
+     * Acquires an id that this process does not hold. Returns false if another one holds it.
+     *
+     * @param mayRepeat whether the query may be repeated once the process that holds its id has
+     *     ended
+     */
+    boolean acquire(String id, boolean mayRepeat);
 
     /** Releases an id, if this process has acquired it. */
     void release(String id);
--- a/src/main/java/junipercourse/handover/SharedQueryIds.java
+++ b/src/main/java/junipercourse/handover/SharedQueryIds.java
@@ -5,12 +5,14 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.IntPredicate;
 import junipercourse.core.QueryIdRegistry;
 import net.openhft.hashing.LongHashFunction;
 
 /**
- * A registry of query ids in {@link SharedMemory}, as 64-bit hashes. The ids that a process holds
- * stay held after its end, however it ends; the next process with its number takes them over.
+ * A registry of query ids in {@link SharedMemory}, as hashes. After the end of a process, however
+ * it ends, the ids of queries that must not be repeated stay held; the next process with its number
+ * takes them over.
  */
 public final class SharedQueryIds implements QueryIdRegistry {
     /** The word with the number of words that may hold an id. */
@@ -26,23 +28,36 @@
 
     private static final long NO_ID = 0;
 
+    /** The lowest bit of a word tells whether the query may be repeated; the others are a hash. */
+    private static final long MAY_REPEAT = 1;
+
+    private static final long HASH_BITS = ~MAY_REPEAT;
+
     private final LongHashFunction hashFunction = LongHashFunction.xx3();
     private final SharedMemory memory;
+    private final IntPredicate isProcessRunning;
     private final BitSet usedWords = new BitSet();
     private final Map<Long, Integer> ownWords = new HashMap<>();
 
     /** Ids that an ended process has left in this segment; they give way to new ones. */
     private final Map<Long, Integer> inheritedWords = new LinkedHashMap<>();
 
-    /** Takes over what this segment holds. */
-    public SharedQueryIds(SharedMemory memory) {
+    /**
+     * Takes over what this segment holds.
+     *
+     * @param isProcessRunning whether the process with another number runs
+     */
+    public SharedQueryIds(SharedMemory memory, IntPredicate isProcessRunning) {
         this.memory = memory;
+        this.isProcessRunning = isProcessRunning;
         int used = usedWords(memory.processNumber());
         for (int i = 0; i < used; i++) {
-            long hash = memory.read(memory.processNumber(), FIRST_WORD + i);
-            if (hash != NO_ID) {
-                inheritedWords.put(hash, i);
+            long word = memory.read(memory.processNumber(), FIRST_WORD + i);
+            if (word != NO_ID && (word & MAY_REPEAT) == 0) {
+                inheritedWords.put(word, i);
                 usedWords.set(i);
+            } else {
+                memory.write(FIRST_WORD + i, NO_ID);
             }
         }
     }
@@ -60,12 +75,12 @@
      * at the same time, at least one sees that the other does.
      */
     @Override
-    public boolean acquire(String id) {
+    public boolean acquire(String id, boolean mayRepeat) {
         long hash = hash(id);
         if (isHeldByAnother(hash)) {
             return false;
         }
-        add(hash);
+        add(hash, mayRepeat);
         if (isHeldByAnother(hash)) {
             remove(hash);
             return false;
@@ -79,8 +94,8 @@
     }
 
     private long hash(String id) {
-        long hash = hashFunction.hashChars(id);
-        return hash == NO_ID ? 1 : hash;
+        long hash = hashFunction.hashChars(id) & HASH_BITS;
+        return hash == NO_ID ? HASH_BITS : hash;
     }
 
     private boolean isHeldByAnother(long hash) {
@@ -88,29 +103,30 @@
             return true;
         }
         for (int segment = 0; segment < memory.segmentCount(); segment++) {
-            if (segment != memory.processNumber() && contains(segment, hash)) {
+            if (segment != memory.processNumber() && isHeldBy(segment, hash)) {
                 return true;
             }
         }
         return false;
     }
 
-    private boolean contains(int segment, long hash) {
+    private boolean isHeldBy(int segment, long hash) {
         int used = usedWords(segment);
         for (int i = 0; i < used; i++) {
-            if (memory.read(segment, FIRST_WORD + i) == hash) {
-                return true;
+            long word = memory.read(segment, FIRST_WORD + i);
+            if ((word & HASH_BITS) == hash) {
+                return (word & MAY_REPEAT) == 0 || isProcessRunning.test(segment);
             }
         }
         return false;
     }
 
     /** Leaves out an id if all words hold open or abandoned queries of this process. */
-    private void add(long hash) {
+    private void add(long hash, boolean mayRepeat) {
         int word = findFreeWord();
         if (word < MAX_IDS && ownWords.putIfAbsent(hash, word) == null) {
             usedWords.set(word);
-            memory.write(FIRST_WORD + word, hash);
+            memory.write(FIRST_WORD + word, hash | (mayRepeat ? MAY_REPEAT : 0));
             if (word >= usedWords(memory.processNumber())) {
                 memory.write(USED_WORDS, word + 1);
             }
--- a/src/main/java/junipercourse/pg/CancelRequests.java
+++ b/src/main/java/junipercourse/pg/CancelRequests.java
@@ -16,8 +16,8 @@
     }
 
     /** Sets what receives the keys that no session of this process has. */
-    public void setForwarder(Consumer<CancelKey> forwarder) {
-        this.forwarder = forwarder;
+    public void setForwarder(Consumer<CancelKey> unknownKeyForwarder) {
+        forwarder = unknownKeyForwarder;
     }
 
     /** Handles a client's request, or passes it on if no session here has its key. */
--- a/src/test/java/junipercourse/cli/SiblingQueryTest.java
+++ b/src/test/java/junipercourse/cli/SiblingQueryTest.java
@@ -86,6 +86,8 @@
         "note,TERM,closes,1",
         "note,TERM,waits,1",
         "note,KILL,waits,1",
+        "load,KILL,waits,2",
+        "check,KILL,waits,2",
         "load,TERM,closes,1",
         "check,TERM,waits,1",
         "check,TERM,closes,2"
--- a/src/test/java/junipercourse/handover/SharedMemoryTest.java
+++ b/src/test/java/junipercourse/handover/SharedMemoryTest.java
@@ -7,7 +7,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.stream.LongStream;
@@ -19,39 +21,50 @@
     private static final int RACES = 20_000;
 
     @TempDir private Path folder;
+    private final Set<Integer> runningProcesses = new HashSet<>(Set.of(0, 1));
 
     private SharedQueryIds ids(int processNumber) throws IOException {
-        return new SharedQueryIds(new SharedMemory(folder, processNumber));
+        return new SharedQueryIds(
+                new SharedMemory(folder, processNumber), runningProcesses::contains);
     }
 
     @Test
     void idIsHeldByOneProcessUntilItIsReleased() throws IOException {
         SharedQueryIds first = ids(0);
         SharedQueryIds second = ids(1);
-        assertTrue(first.acquire("a"));
-        assertFalse(second.acquire("a"));
-        assertTrue(second.acquire("b"));
+        assertTrue(first.acquire("a", false));
+        assertFalse(second.acquire("a", false));
+        assertTrue(second.acquire("b", false));
         first.release("a");
-        assertTrue(second.acquire("a"));
-        assertFalse(first.acquire("a"));
+        assertTrue(second.acquire("a", false));
+        assertFalse(first.acquire("a", false));
     }
 
     @Test
     void idOfAnEndedProcessStaysHeld() throws IOException {
-        assertTrue(ids(0).acquire("a"));
+        assertTrue(ids(0).acquire("a", false));
         SharedQueryIds successor = ids(0);
-        assertFalse(successor.acquire("a"));
-        assertFalse(ids(1).acquire("a"));
-        assertTrue(successor.acquire("b"));
+        assertFalse(successor.acquire("a", false));
+        assertFalse(ids(1).acquire("a", false));
+        assertTrue(successor.acquire("b", false));
         successor.release("a"); // has not acquired it
-        assertFalse(ids(1).acquire("a"));
+        assertFalse(ids(1).acquire("a", false));
+    }
+
+    @Test
+    void idOfAQueryThatMayBeRepeatedIsFreeOnceItsProcessHasEnded() throws IOException {
+        assertTrue(ids(0).acquire("a", true));
+        assertFalse(ids(1).acquire("a", true));
+        runningProcesses.remove(0);
+        assertTrue(ids(1).acquire("a", true));
+        assertFalse(ids(0).acquire("a", true), "the successor of the ended process");
     }
 
     @Test
     void clearedMemoryHoldsNoIds() throws IOException {
-        assertTrue(ids(0).acquire("a"));
+        assertTrue(ids(0).acquire("a", false));
         new SharedMemory(folder, 1).clear();
-        assertTrue(ids(0).acquire("a"));
+        assertTrue(ids(0).acquire("a", false));
     }
 
     /** More ids than a segment holds displace those of an ended process, and nothing else. */
@@ -60,14 +73,14 @@
         SharedQueryIds ended = ids(0);
         int count = SharedQueryIds.MAX_IDS;
         for (int i = 0; i < count; i++) {
-            assertTrue(ended.acquire("old" + i));
+            assertTrue(ended.acquire("old" + i, false));
         }
         SharedQueryIds successor = ids(0);
         SharedQueryIds other = ids(1);
-        assertTrue(successor.acquire("new"));
-        assertFalse(other.acquire("new"));
-        assertTrue(other.acquire("old0"));
-        assertFalse(other.acquire("old1"));
+        assertTrue(successor.acquire("new", false));
+        assertFalse(other.acquire("new", false));
+        assertTrue(other.acquire("old0", false));
+        assertFalse(other.acquire("old1", false));
     }
 
     @Test
@@ -97,7 +110,7 @@
         try {
             for (int i = 0; i < RACES; i++) {
                 barrier.await();
-                if (ids.acquire("id" + i)) {
+                if (ids.acquire("id" + i, false)) {
                     acquired.incrementAndGet(i);
                 }
                 barrier.await();
@@ -127,7 +140,7 @@
         SharedQueryIds ids = ids(0);
         SharedCancelRequests first = new SharedCancelRequests(new SharedMemory(folder, 0));
         SharedCancelRequests second = new SharedCancelRequests(new SharedMemory(folder, 1));
-        assertTrue(ids.acquire("a"));
+        assertTrue(ids.acquire("a", false));
         int count = 100_000;
         for (int i = 0; i < count; i++) {
             first.send(i);
@@ -135,7 +148,7 @@
         List<Long> received = receive(second);
         assertEquals(count - 1L, received.get(received.size() - 1));
         assertEquals(LongStream.range(count - received.size(), count).boxed().toList(), received);
-        assertFalse(ids(1).acquire("a"));
+        assertFalse(ids(1).acquire("a", false));
     }
 
     private static List<Long> receive(SharedCancelRequests requests) {
