Bound the expected latency of a request by the latency that its class had

Cause: the expected latency is the estimate times the slowdown of the class, and one estimate that is too low by any factor raises the slowdown by that factor.

--- a/src/main/java/junipercourse/decision/estimation/LatencyEstimator.java
+++ b/src/main/java/junipercourse/decision/estimation/LatencyEstimator.java
@@ -23,17 +23,30 @@
         this.congestion = congestion;
     }
 
-    /** Returns the expected latency of an attempt of a request, in seconds. */
+    /**
+     * Returns the expected latency of an attempt of a request, in seconds: its own estimate times
+     * the slowdown of its class. Estimates of other requests may be wrong by any factor and so is
+     * the slowdown then, but not the latency that attempts of the class had.
+     */
     public double expectedLatency(PendingRequest request) {
         RunningMean logSlowdown = request.classStatistics().logSlowdown();
         if (logSlowdown.isKnown()) {
-            return request.unloadedLatency() * Math.exp(logSlowdown.value());
+            return Math.min(
+                    request.unloadedLatency() * Math.exp(logSlowdown.value()),
+                    highestLatency(request));
         }
         return request.hasCostEstimate()
                 ? request.unloadedLatency()
                 : request.queryClass().latencyObjectiveSeconds() * UNKNOWN_LATENCY_SHARE;
     }
 
+    /** Returns what a request of its size may take, by the latency of the attempts answered. */
+    private double highestLatency(PendingRequest request) {
+        return request.classStatistics().attemptLatency().valueOr(Double.POSITIVE_INFINITY)
+                * sizeFactor(request)
+                * DecisionDefaults.MAX_LATENCY_RATIO;
+    }
+
     /**
      * Returns the estimated size of a request relative to the geometric mean of its class, at least
      * 1.
--- a/src/test/java/junipercourse/decision/RecoveryAfterTroubleTest.java
+++ b/src/test/java/junipercourse/decision/RecoveryAfterTroubleTest.java
@@ -36,13 +36,11 @@
                     simulation.setReportOffset(0);
                 }),
         /** Clients estimate the work of 100 requests as next to nothing. */
-        ESTIMATES_OF_NO_WORK(
-                30,
-                simulation -> {
-                    for (int i = 0; i < 100; i++) {
-                        simulation.submit(1e-10);
-                    }
-                });
+        ESTIMATES_OF_NO_WORK(30, simulation -> submitAll(simulation, 1e-10)),
+        /** Clients estimate the work of 100 requests as a small part of what it is. */
+        ESTIMATES_OF_LITTLE_WORK(30, simulation -> submitAll(simulation, 1e-3)),
+        /** Clients estimate the work of 100 requests as more than all engines do in a day. */
+        ESTIMATES_OF_ENDLESS_WORK(30, simulation -> submitAll(simulation, 1e7));
 
         private final double requestsPerSecond;
         private final Consumer<ServingSimulation> faults;
@@ -53,6 +51,12 @@
         }
     }
 
+    private static void submitAll(ServingSimulation simulation, double estimatedWork) {
+        for (int i = 0; i < 100; i++) {
+            simulation.submit(estimatedWork);
+        }
+    }
+
     private static ServingSimulation startServing(int engines, double requestsPerSecond) {
         ServingSimulation simulation =
                 new ServingSimulation(DISPATCHERS, engines, requestsPerSecond);
