Serve without sharing ids if the shared file cannot be used

Seen: reading the start-up again: a process whose $TMPDIR has no room for the shared file of 1 MB would not have started.

Change: it logs the error and serves; ids and cancel requests are not shared then.

Result: SiblingQueryTest's new case (a folder in the file's place), its other 10 cases, SharedMemoryTest, ReplacementTest and ArchitectureTest pass.

--- a/src/main/java/junipercourse/cli/HandoverCoordinator.java
+++ b/src/main/java/junipercourse/cli/HandoverCoordinator.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import junipercourse.admin.SiblingProcesses;
@@ -47,7 +48,6 @@
     private final int maxOpenQueriesAlone;
     private final int maxOpenQueriesWithSibling;
     private final SiblingProcesses siblings;
-    private final SharedCancelRequests cancelRequests;
     private final ScheduledThreadPoolExecutor scheduler;
 
     /**
@@ -80,12 +80,9 @@
         allowedDescriptors = descriptors.used();
         descriptors.applyClaim(allowedDescriptors, true); // there is no claim until the first poll
         siblings = new SiblingProcesses(folder);
-        SharedMemory memory = new SharedMemory(folder, siblings.processNumber());
-        pollSiblings(memory::clear);
-        cancelRequests = new SharedCancelRequests(memory);
-        gateway.setIdRegistry(new SharedQueryIds(memory, siblings::isRunning));
-        pgServer.cancelRequests().setForwarder(key -> cancelRequests.send(key.toLong()));
-        loop.execute(this::receiveCancelRequests);
+        Optional<SharedMemory> memory = openSharedMemory(folder);
+        pollSiblings(() -> memory.ifPresent(SharedMemory::clear));
+        memory.ifPresent(this::shareQueries);
         scheduler =
                 new ScheduledThreadPoolExecutor(
                         1,
@@ -122,8 +119,29 @@
                         + listenAddress.getPort());
     }
 
-    private void receiveCancelRequests() {
-        loop.scheduleAfter(CANCEL_POLL_INTERVAL_SECONDS, this::receiveCancelRequests);
+    /** A process that cannot share its queries still serves them. */
+    private Optional<SharedMemory> openSharedMemory(Path folder) {
+        try {
+            return Optional.of(new SharedMemory(folder, siblings.processNumber()));
+        } catch (IOException e) {
+            Logger.error(
+                    "ids and cancel requests are not shared with other processes of this"
+                            + " dispatcher: {}",
+                    e.toString());
+            return Optional.empty();
+        }
+    }
+
+    private void shareQueries(SharedMemory memory) {
+        gateway.setIdRegistry(new SharedQueryIds(memory, siblings::isRunning));
+        SharedCancelRequests cancelRequests = new SharedCancelRequests(memory);
+        pgServer.cancelRequests().setForwarder(key -> cancelRequests.send(key.toLong()));
+        loop.execute(() -> receiveCancelRequests(cancelRequests));
+    }
+
+    private void receiveCancelRequests(SharedCancelRequests cancelRequests) {
+        loop.scheduleAfter(
+                CANCEL_POLL_INTERVAL_SECONDS, () -> receiveCancelRequests(cancelRequests));
         cancelRequests.receive(
                 key -> pgServer.cancelRequests().cancelSession(CancelKey.fromLong(key)));
     }
--- a/src/main/java/junipercourse/handover/SharedMemory.java
+++ b/src/main/java/junipercourse/handover/SharedMemory.java
@@ -18,7 +18,7 @@
  */
 public final class SharedMemory {
     /** Another layout needs another name: two builds may run during a replacement. */
-    private static final String FILE_NAME = "queries-1";
+    public static final String FILE_NAME = "queries-1";
 
     private static final int SEGMENTS = SiblingProcesses.MAX_PROCESSES;
 
--- a/src/test/java/junipercourse/cli/SiblingQueryTest.java
+++ b/src/test/java/junipercourse/cli/SiblingQueryTest.java
@@ -4,14 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import junipercourse.Client;
 import junipercourse.ListeningSocketHolder;
 import junipercourse.ListeningSocketHolder.InheritingProcess;
 import junipercourse.SocketTestSupport;
 import junipercourse.StubEngines;
+import junipercourse.handover.SharedMemory;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -138,6 +141,30 @@
         }
     }
 
+    @Test
+    void processServesThoughTheSharedFileCannotBeUsed() throws Exception {
+        InheritingProcess first = listener.start().awaitReady();
+        Path sharedFile = findSharedFile();
+        first.signal("KILL");
+        first.awaitExitCode();
+        Files.delete(sharedFile);
+        Files.createDirectory(sharedFile);
+        InheritingProcess second = listener.start().awaitReady();
+        try (Client client = new Client(listener.address()).startSession()) {
+            client.write(query("check"));
+            SocketTestSupport.await(() -> engines.countAttempts("") == 1);
+        }
+        assertTrue(second.log().contains("are not shared with other processes"), second.log());
+    }
+
+    private Path findSharedFile() throws IOException {
+        try (Stream<Path> files = Files.walk(listener.tempFolder())) {
+            return files.filter(file -> file.endsWith(SharedMemory.FILE_NAME))
+                    .findAny()
+                    .orElseThrow();
+        }
+    }
+
     @Test
     void cancelAcceptedByTheOtherProcessReachesTheQuery() throws Exception {
         try (Client client = beginAtReplacedProcess("check", "TERM")) {
