Tell words from their indexes in SharedQueryIds, and hold a flood of cancel requests

Change: names only in SharedQueryIds. HostileClientTest has a case of 320 clients that send cancel requests with the key of no session as fast as they can.

--- a/src/main/java/junipercourse/handover/SharedQueryIds.java
+++ b/src/main/java/junipercourse/handover/SharedQueryIds.java
@@ -15,8 +15,8 @@
  * takes them over.
  */
 public final class SharedQueryIds implements QueryIdRegistry {
-    /** The word with the number of words that may hold an id. */
-    private static final int USED_WORDS = 0;
+    /** The word with the number of indexes that may hold an id. */
+    private static final int COUNT_WORD = 0;
 
     private static final int FIRST_WORD = 1;
 
@@ -36,11 +36,11 @@
     private final LongHashFunction hashFunction = LongHashFunction.xx3();
     private final SharedMemory memory;
     private final IntPredicate isProcessRunning;
-    private final BitSet usedWords = new BitSet();
-    private final Map<Long, Integer> ownWords = new HashMap<>();
+    private final BitSet usedIndexes = new BitSet();
+    private final Map<Long, Integer> ownIndexes = new HashMap<>();
 
     /** Ids that an ended process has left in this segment; they give way to new ones. */
-    private final Map<Long, Integer> inheritedWords = new LinkedHashMap<>();
+    private final Map<Long, Integer> inheritedIndexes = new LinkedHashMap<>();
 
     /**
      * Takes over what this segment holds.
@@ -50,12 +50,12 @@
     public SharedQueryIds(SharedMemory memory, IntPredicate isProcessRunning) {
         this.memory = memory;
         this.isProcessRunning = isProcessRunning;
-        int used = usedWords(memory.processNumber());
-        for (int i = 0; i < used; i++) {
+        int count = indexCount(memory.processNumber());
+        for (int i = 0; i < count; i++) {
             long word = memory.read(memory.processNumber(), FIRST_WORD + i);
             if (word != NO_ID && (word & MAY_REPEAT) == 0) {
-                inheritedWords.put(word, i);
-                usedWords.set(i);
+                inheritedIndexes.put(word, i);
+                usedIndexes.set(i);
             } else {
                 memory.write(FIRST_WORD + i, NO_ID);
             }
@@ -63,9 +63,9 @@
     }
 
     /** Never above the maximum: a damaged count must not lead out of the segment. */
-    private int usedWords(int segment) {
-        long used = memory.read(segment, USED_WORDS);
-        return (int) Math.min(Math.max(0, used), MAX_IDS);
+    private int indexCount(int segment) {
+        long count = memory.read(segment, COUNT_WORD);
+        return (int) Math.min(Math.max(0, count), MAX_IDS);
     }
 
     /**
@@ -99,7 +99,7 @@
     }
 
     private boolean isHeldByAnother(long hash) {
-        if (inheritedWords.containsKey(hash)) {
+        if (inheritedIndexes.containsKey(hash)) {
             return true;
         }
         for (int segment = 0; segment < memory.segmentCount(); segment++) {
@@ -111,8 +111,8 @@
     }
 
     private boolean isHeldBy(int segment, long hash) {
-        int used = usedWords(segment);
-        for (int i = 0; i < used; i++) {
+        int count = indexCount(segment);
+        for (int i = 0; i < count; i++) {
             long word = memory.read(segment, FIRST_WORD + i);
             if ((word & HASH_BITS) == hash) {
                 return (word & MAY_REPEAT) == 0 || isProcessRunning.test(segment);
@@ -121,33 +121,33 @@
         return false;
     }
 
-    /** Leaves out an id if all words hold open or abandoned queries of this process. */
+    /** Leaves out an id if all indexes hold open or abandoned queries of this process. */
     private void add(long hash, boolean mayRepeat) {
-        int word = findFreeWord();
-        if (word < MAX_IDS && ownWords.putIfAbsent(hash, word) == null) {
-            usedWords.set(word);
-            memory.write(FIRST_WORD + word, hash | (mayRepeat ? MAY_REPEAT : 0));
-            if (word >= usedWords(memory.processNumber())) {
-                memory.write(USED_WORDS, word + 1);
+        int index = findFreeIndex();
+        if (index < MAX_IDS && ownIndexes.putIfAbsent(hash, index) == null) {
+            usedIndexes.set(index);
+            memory.write(FIRST_WORD + index, hash | (mayRepeat ? MAY_REPEAT : 0));
+            if (index >= indexCount(memory.processNumber())) {
+                memory.write(COUNT_WORD, index + 1);
             }
         }
     }
 
-    private int findFreeWord() {
-        int word = usedWords.nextClearBit(0);
-        Iterator<Integer> inherited = inheritedWords.values().iterator();
-        if (word >= MAX_IDS && inherited.hasNext()) {
-            word = inherited.next();
+    private int findFreeIndex() {
+        int index = usedIndexes.nextClearBit(0);
+        Iterator<Integer> inherited = inheritedIndexes.values().iterator();
+        if (index >= MAX_IDS && inherited.hasNext()) {
+            index = inherited.next();
             inherited.remove();
         }
-        return word;
+        return index;
     }
 
     private void remove(long hash) {
-        Integer word = ownWords.remove(hash);
-        if (word != null) {
-            memory.write(FIRST_WORD + word, NO_ID);
-            usedWords.clear(word);
+        Integer index = ownIndexes.remove(hash);
+        if (index != null) {
+            memory.write(FIRST_WORD + index, NO_ID);
+            usedIndexes.clear(index);
         }
     }
 }
--- a/src/test/java/junipercourse/cli/HostileClientTest.java
+++ b/src/test/java/junipercourse/cli/HostileClientTest.java
@@ -61,6 +61,11 @@
     /** No start-up packet: the dispatcher closes the connection. */
     private static final byte[] HTTP_REQUEST = "GET / HTTP/1.1".getBytes(StandardCharsets.US_ASCII);
 
+    /** With the key of no session. */
+    private static final byte[] CANCEL_REQUEST = {
+        0, 0, 0, 16, 4, (byte) 0xd2, 22, 46, 0, 0, 0, 1, 0, 0, 0, 1
+    };
+
     private static final byte[] ENCRYPTION_REQUEST = {0, 0, 0, 8, 4, (byte) 0xd2, 22, 47};
 
     @TempDir private Path folder;
@@ -125,6 +130,10 @@
                         "connections closed at once of many",
                         new HostileClients.Load(
                                 MANY_CLIENTS, HTTP_REQUEST, () -> NOTHING, TROUBLE_MILLIS)),
+                Arguments.of(
+                        "cancel requests of many",
+                        new HostileClients.Load(
+                                MANY_CLIENTS, CANCEL_REQUEST, () -> NOTHING, TROUBLE_MILLIS)),
                 Arguments.of(
                         "requests for encryption",
                         new HostileClients.Load(1, NOTHING, () -> ENCRYPTION_REQUEST, 0)));
